--- a/src/bin/cinderwood-simhost/main.rs
+++ b/src/bin/meadowlug-benchlink/main.rs
@@ -4,8 +4,8 @@
 
 mod wire;
 
-use cinderwood::Router;
-use cinderwood::interface::{Event, Micros};
+use meadowlug::Router;
+use meadowlug::interface::{Event, Micros};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
@@ -120,7 +120,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("cinderwood-simhost: {message}");
+            eprintln!("meadowlug-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/cinderwood-simhost/wire.rs
+++ b/src/bin/meadowlug-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's text wire: lines to events and settings, actions to lines.
 
-use cinderwood::interface::*;
+use meadowlug::interface::*;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::fmt::Write as _;
--- /dev/null
+++ b/src/config/list.rs
@@ -0,0 +1,107 @@
+//! Discovery's list of engines, and the names in it.
+
+use crate::gateway::{Change, Listed};
+use crate::interface::{Condition, Entry, Micros, RosterForm, ServerId};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A list or a change of it, as discovery writes it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    /// The version that it leads to.
+    pub rev: u64,
+    /// Whether it is the whole list.
+    #[serde(default)]
+    pub all: bool,
+    /// The entries.
+    #[serde(default)]
+    pub targets: Vec<Target>,
+}
+
+/// One engine, as discovery writes it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Target {
+    uid: String,
+    endpoint: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u32,
+    state: String,
+    #[serde(default)]
+    boot_ms: f64,
+}
+
+/// The names that stand for places in the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of engine.
+    pub kinds: Vec<String>,
+    /// Request classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+}
+
+/// The place of a name.
+pub fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+/// Gives engines their numbers: the same for a uid at every gateway, as long as no two clash.
+#[derive(Debug, Default)]
+pub struct Numbers {
+    taken: HashMap<u32, String>,
+}
+
+impl Numbers {
+    fn of(&mut self, uid: &str) -> ServerId {
+        let hash = |h: u32, byte: u8| (h ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+        let mut number = uid.bytes().fold(0x811c_9dc5, hash);
+        while self.taken.get(&number).is_some_and(|other| other != uid) {
+            number = number.wrapping_add(1);
+        }
+        self.taken.entry(number).or_insert_with(|| uid.to_owned());
+        ServerId(number)
+    }
+}
+
+impl Target {
+    fn listed(&self, names: &Names, numbers: &mut Numbers) -> Option<Listed> {
+        let condition = match self.state.as_str() {
+            "SERVING" => Condition::Ready,
+            "DELETED" => Condition::Gone,
+            // A state that is not known wants nothing new either.
+            _ => Condition::Draining,
+        };
+        let Some(kind) = place(&names.kinds, &self.model) else {
+            log::warn!("roster entry skipped uid={} unknown model={}", self.uid, self.model);
+            return None;
+        };
+        let entry = Entry {
+            server: numbers.of(&self.uid),
+            zone: place(&names.zones, &self.az).map_or(u32::MAX, |zone| zone as u32),
+            cell: self.pod_group,
+            kind,
+            condition,
+            started_at: (self.boot_ms.max(0.0) * 1000.0) as Micros,
+        };
+        Some(Listed { entry, endpoint: Arc::from(self.endpoint.as_str()) })
+    }
+}
+
+impl List {
+    /// The change that it is to the core.
+    pub fn change(&self, names: &Names, numbers: &mut Numbers) -> Change {
+        Change {
+            revision: self.rev,
+            form: if self.all { RosterForm::Full } else { RosterForm::Delta },
+            engines: self.targets.iter().filter_map(|t| t.listed(names, numbers)).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,301 @@
+//! The gateway's configuration: decoded, checked, and turned into what the parts need.
+
+mod list;
+
+pub use list::{List, Names, Numbers, Target, place};
+
+use crate::interface::{Class, Effect, Group, Load, Micros, Role, Settings};
+use serde::Deserialize;
+use std::fmt;
+use std::time::Duration;
+
+/// What is wrong with a configuration.
+#[derive(Debug)]
+pub struct ConfigError(pub String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}", self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn wrong(what: impl fmt::Display) -> ConfigError {
+    ConfigError(what.to_string())
+}
+
+/// The file as it is written.
+#[derive(Debug, Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: String,
+    discovery: String,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Resources,
+    #[serde(default)]
+    known: Option<List>,
+    settings: Told,
+}
+
+/// What the process may hold.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Resources {
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+impl Default for Resources {
+    fn default() -> Self {
+        Self { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Told {
+    #[serde(default = "one")]
+    replicas_of_me: u32,
+    #[serde(default)]
+    zone: u32,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
+    categories: Vec<Category>,
+    #[serde(default)]
+    projects: Vec<Project>,
+    #[serde(default)]
+    permissions: Permissions,
+    #[serde(default)]
+    rules: Rules,
+    #[serde(default)]
+    extra: Extra,
+    #[serde(default)]
+    report: Report,
+    #[serde(default)]
+    resolution_ms: Option<f64>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Category {
+    name: String,
+    objective_ms: f64,
+    hard_limit_ms: f64,
+    effect: String,
+    #[serde(default)]
+    group: Option<String>,
+    #[serde(default)]
+    window_ms: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Project {
+    name: String,
+    #[serde(default)]
+    quota_per_s: f64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Permissions {
+    cancelling: Option<bool>,
+    conn_idle_ms: Option<f64>,
+    dial_timeout_ms: Option<f64>,
+    max_attempts: Option<u32>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Rules {
+    cold_from: Option<f64>,
+    warm_after_ms: Option<f64>,
+    overload_factor: Option<f64>,
+    fall_ms: Option<f64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Extra {
+    #[serde(rename = "roleByKind")]
+    roles: Vec<String>,
+    #[serde(rename = "tokensByKind")]
+    memory_tokens: Vec<f64>,
+    #[serde(rename = "aimUsPer1000PromptTokens")]
+    aim_per_1000: Vec<f64>,
+    #[serde(rename = "tokenAimMs")]
+    token_aim_ms: Vec<f64>,
+    #[serde(rename = "letGoByMs")]
+    let_go_ms: Option<f64>,
+    #[serde(rename = "readInPlace")]
+    writers_read: bool,
+    #[serde(rename = "reportX0")]
+    x0: String,
+    #[serde(rename = "reportX1")]
+    x1: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Report {
+    fields: Vec<String>,
+}
+
+/// Which fields of a load report hold what the module asks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadNames {
+    memory_share: Option<String>,
+    queued_kilotokens: Option<String>,
+}
+
+impl LoadNames {
+    /// Reads a report; what is missing or malformed is absent.
+    pub fn read(&self, report: &[u8]) -> Load {
+        let report: serde_json::Value = serde_json::from_slice(report).unwrap_or_default();
+        let field = |name: &Option<String>| {
+            let value = report.get(name.as_deref()?)?.as_f64()?;
+            (value >= 0.0).then_some(value)
+        };
+        Load { memory_share: field(&self.memory_share), queued_kilotokens: field(&self.queued_kilotokens) }
+    }
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The gateway's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: String,
+    /// Where discovery listens.
+    pub discovery: String,
+    /// For random numbers.
+    pub seed: u64,
+    /// What the process may hold.
+    pub resources: Resources,
+    /// The list as it was held last.
+    pub known: Option<List>,
+    /// What the module is told.
+    pub settings: Settings,
+    /// The names that stand for places in the settings.
+    pub names: Names,
+    /// Fields of load reports.
+    pub load: LoadNames,
+    /// How long a connection may take to come up.
+    pub dial_timeout: Duration,
+    /// When engines close an idle connection.
+    pub idle_limit: Duration,
+}
+
+fn micros(ms: f64) -> Micros {
+    (ms.max(0.0) * 1000.0).round() as Micros
+}
+
+fn span(ms: Option<f64>, or: Micros) -> Micros {
+    ms.map_or(or, micros)
+}
+
+impl Config {
+    /// Decodes and checks a configuration.
+    pub fn decode(text: &[u8]) -> Result<Self, ConfigError> {
+        let file: File = serde_json::from_slice(text).map_err(wrong)?;
+        let told = &file.settings;
+        let names = Names {
+            zones: told.zones.clone(),
+            kinds: told.kinds.clone(),
+            classes: told.categories.iter().map(|c| c.name.clone()).collect(),
+            tenants: told.projects.iter().map(|p| p.name.clone()).collect(),
+        };
+        let meant = |word: &str| {
+            let told = [("x0", &told.extra.x0), ("x1", &told.extra.x1)];
+            let found = told.into_iter().find(|(_, meaning)| meaning.replace('_', " ").contains(word));
+            found.map(|(name, _)| name.to_owned()).filter(|n| file.settings.report.fields.contains(n))
+        };
+        Ok(Self {
+            load: LoadNames {
+                memory_share: meant("share of memory"),
+                queued_kilotokens: meant("prompt tokens"),
+            },
+            dial_timeout: Duration::from_micros(span(told.permissions.dial_timeout_ms, 250_000)),
+            idle_limit: Duration::from_micros(span(told.permissions.conn_idle_ms, 15_000_000)),
+            settings: settings(told)?,
+            names,
+            seed: u64::from_str_radix(&file.seed, 16).unwrap_or(0),
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            resources: file.limits,
+            known: file.known,
+        })
+    }
+}
+
+fn settings(told: &Told) -> Result<Settings, ConfigError> {
+    let plain = Settings::default();
+    let extra = &told.extra;
+    let role = |name: &String| match name.as_str() {
+        "read" => Ok(Role::Read),
+        "write" => Ok(Role::Write),
+        "both" => Ok(Role::Both),
+        _ => Err(wrong(format!("extra.roleByKind: no role {name}"))),
+    };
+    let roles = extra.roles.iter().map(role).collect::<Result<Vec<_>, _>>()?;
+    if roles.len() < told.kinds.len() {
+        return Err(wrong("extra.roleByKind: a kind without a role"));
+    }
+    let each = |list: &[f64], at: usize| list.get(at).copied().unwrap_or(0.0);
+    let class = |(at, c): (usize, &Category)| {
+        Ok(Class {
+            aim: micros(c.objective_ms),
+            aim_per_1000: each(&extra.aim_per_1000, at).max(0.0) as Micros,
+            deadline: micros(c.hard_limit_ms),
+            token_aim: micros(each(&extra.token_aim_ms, at)),
+            effect: effect(c)?,
+        })
+    };
+    Ok(Settings {
+        replicas: told.replicas_of_me,
+        zone: told.zone,
+        roles,
+        memory_tokens: extra.memory_tokens.clone(),
+        classes: told.categories.iter().enumerate().map(class).collect::<Result<_, _>>()?,
+        tenant_rates: told.projects.iter().map(|p| p.quota_per_s).collect(),
+        max_attempts: told.permissions.max_attempts.unwrap_or(plain.max_attempts),
+        may_cancel: told.permissions.cancelling.unwrap_or(false),
+        writers_read: extra.writers_read,
+        ask_roster: false,
+        resolution: span(told.resolution_ms, plain.resolution),
+        let_go: span(extra.let_go_ms, plain.let_go),
+        cold_from: told.rules.cold_from.unwrap_or(plain.cold_from),
+        warm_after: span(told.rules.warm_after_ms, plain.warm_after),
+        overload_factor: told.rules.overload_factor.unwrap_or(plain.overload_factor),
+        fall_window: span(told.rules.fall_ms, plain.fall_window),
+    })
+}
+
+fn effect(category: &Category) -> Result<Effect, ConfigError> {
+    let group = match category.group.as_deref() {
+        None | Some("all") => Group::All,
+        Some("zone") => Group::Zone,
+        Some("cell") => Group::Cell,
+        Some(other) => return Err(wrong(format!("categories.group: no group {other}"))),
+    };
+    match category.effect.as_str() {
+        "safe" => Ok(Effect::Safe),
+        "unsafe" => Ok(Effect::Unsafe),
+        "keyed" => Ok(Effect::Keyed { group, window: micros(category.window_ms) }),
+        other => Err(wrong(format!("categories.effect: no effect {other}"))),
+    }
+}
--- /dev/null
+++ b/src/front/reply.rs
@@ -0,0 +1,39 @@
+//! Answers in the API's words.
+
+use crate::interface::Micros;
+use crate::net::FrontBody;
+use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// An answer in one piece.
+pub(super) fn json(status: StatusCode, body: Bytes) -> Response<FrontBody> {
+    let mut response = Response::new(FrontBody::Whole(Some(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// An error in the API's error body.
+pub(super) fn error(status: StatusCode, message: &str) -> Response<FrontBody> {
+    let kind = match status {
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_client_error() => "invalid_request_error",
+        _ => "server_error",
+    };
+    let code = status.canonical_reason().unwrap_or("error").to_ascii_lowercase().replace(' ', "_");
+    let body = serde_json::json!({"error": {"message": message, "type": kind, "param": null, "code": code}});
+    json(status, body.to_string().into())
+}
+
+/// A refusal, with when to come back.
+pub(super) fn refusal(status: StatusCode, message: &str, retry_after: Micros) -> Response<FrontBody> {
+    let mut response = error(status, message);
+    if retry_after > 0 {
+        let seconds = format!("{:.3}", retry_after as f64 / 1e6);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/gateway/book.rs
@@ -0,0 +1,142 @@
+//! Last stage: each request's one final answer, what is held for it let go, and the counts.
+
+use super::relay::End;
+use super::roster::Roster;
+use super::take_in::Caller;
+use super::{Answer, Engines, EventStream};
+use crate::interface::{Micros, RequestId, ServerId};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Answers given since the last line of the log.
+#[derive(Debug, Default)]
+struct Counts {
+    served: u64,
+    refused: u64,
+    failed: u64,
+    faulty: u64,
+    abandoned: u64,
+    broken: u64,
+    unreleased: u64,
+}
+
+/// Gives the answers and lets go of what is held.
+pub(super) struct Book<E: Engines> {
+    engines: Rc<E>,
+    roster: Rc<Roster>,
+    /// How long one engine may take to accept a release before another is asked.
+    patience: Duration,
+    /// When each engine last answered: a release goes first to the one surest to run.
+    heard: Rc<RefCell<HashMap<ServerId, Micros>>>,
+    counts: Rc<RefCell<Counts>>,
+}
+
+impl<E: Engines> Book<E> {
+    pub(super) fn new(engines: Rc<E>, roster: Rc<Roster>, patience: Duration) -> Self {
+        Self { engines, roster, patience, heard: Rc::default(), counts: Rc::default() }
+    }
+
+    pub(super) fn hear(&self, server: ServerId, now: Micros) {
+        self.heard.borrow_mut().insert(server, now);
+    }
+
+    /// Answers all who wait. Only the first can have a running answer.
+    pub(super) fn answer(&self, callers: &mut Vec<Caller<E::Events>>, answer: Answer<E::Events>) {
+        let mut counts = self.counts.borrow_mut();
+        match &answer {
+            Answer::Events(_) => {}
+            Answer::Whole(_) => counts.served += 1,
+            Answer::Faulty(_) => counts.faulty += 1,
+            Answer::Refused { .. } => counts.refused += 1,
+            Answer::Failed { .. } => counts.failed += 1,
+        }
+        drop(counts);
+        let mut callers = callers.drain(..);
+        let first = callers.next();
+        for caller in callers {
+            // One who has gone needs no answer.
+            let _ = caller.answer.send(again(&answer));
+        }
+        if let Some(first) = first {
+            let _ = first.answer.send(answer);
+        }
+    }
+
+    pub(super) fn ended(&self, id: &RequestId, end: &End) {
+        let mut counts = self.counts.borrow_mut();
+        match end {
+            End::Whole => counts.served += 1,
+            End::ClientGone => counts.abandoned += 1,
+            End::Broke(error) => {
+                counts.broken += 1;
+                log::warn!("stream broken request={} {error}", id.0);
+            }
+        }
+    }
+
+    pub(super) fn abandoned(&self) {
+        self.counts.borrow_mut().abandoned += 1;
+    }
+
+    /// Lets go of what is held for the request, at whichever engine takes the call. Tries after the
+    /// first stop once an attempt of the request is out again: what that one leaves must stay.
+    pub(super) fn release(
+        &self,
+        id: RequestId,
+        delay: Duration,
+        out: Rc<Cell<usize>>,
+        waits: Rc<Cell<bool>>,
+    ) {
+        let heard = self.heard.borrow();
+        let mut engines = self.roster.listed();
+        engines.sort_by_key(|(server, _)| std::cmp::Reverse(heard.get(server).copied().unwrap_or(0)));
+        drop(heard);
+        let (engine, patience, counts) = (self.engines.clone(), self.patience, self.counts.clone());
+        tokio::task::spawn_local(async move {
+            let mut again = !delay.is_zero();
+            tokio::time::sleep(delay).await;
+            waits.set(false);
+            for (_, endpoint) in engines {
+                if again && out.get() > 0 {
+                    return;
+                }
+                again = true;
+                match tokio::time::timeout(patience, engine.release(endpoint.clone(), id.clone())).await {
+                    Ok(Ok(())) => return,
+                    Ok(Err(error)) => log::debug!("release request={} at={endpoint} {error}", id.0),
+                    Err(_) => log::debug!("release request={} at={endpoint} no answer in time", id.0),
+                }
+            }
+            counts.borrow_mut().unreleased += 1;
+            log::warn!("release failed everywhere request={}", id.0);
+        });
+    }
+
+    /// Writes the counts to the log and begins anew.
+    pub(super) fn report(&self, open: usize) {
+        let c = std::mem::take(&mut *self.counts.borrow_mut());
+        log::info!(
+            "counts open={open} served={} refused={} failed={} faulty={} abandoned={} broken={} unreleased={}",
+            c.served,
+            c.refused,
+            c.failed,
+            c.faulty,
+            c.abandoned,
+            c.broken,
+            c.unreleased
+        );
+    }
+}
+
+fn again<S: EventStream>(answer: &Answer<S>) -> Answer<S> {
+    match answer {
+        Answer::Whole(body) => Answer::Whole(body.clone()),
+        Answer::Faulty(body) => Answer::Faulty(body.clone()),
+        Answer::Refused { retry_after } => Answer::Refused { retry_after: *retry_after },
+        Answer::Failed { timed_out } => Answer::Failed { timed_out: *timed_out },
+        // A running answer has one reader.
+        Answer::Events(_) => Answer::Failed { timed_out: false },
+    }
+}
--- /dev/null
+++ b/src/gateway/clock.rs
@@ -0,0 +1,30 @@
+//! The clock that the decision module is told: Unix time at the start, then monotonic.
+
+use crate::interface::Micros;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Microseconds of Unix time that never go back.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    base: Micros,
+    start: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Self { base: unix.as_micros() as Micros, start: Instant::now() }
+    }
+}
+
+impl Clock {
+    /// The time now.
+    pub fn now(&self) -> Micros {
+        self.base + self.start.elapsed().as_micros() as Micros
+    }
+
+    /// How long from now until then.
+    pub fn until(&self, then: Micros) -> Duration {
+        Duration::from_micros(then.saturating_sub(self.now()))
+    }
+}
--- /dev/null
+++ b/src/gateway/driver.rs
@@ -0,0 +1,455 @@
+//! Owns the decision module, its clock and timers, and the open requests; carries out its actions.
+
+use super::admit::{Admission, Admitted};
+use super::book::Book;
+use super::relay::{End, Relay};
+use super::roster::Roster;
+use super::route::Route;
+use super::send::{self, Begun};
+use super::take_in::{Caller, Rejected, Submission, Taken, Ticket};
+use super::{Answer, AttemptError, Call, Change, Clock, Engines, Gate, Limits, Replied, Reply};
+use crate::choice::Router;
+use crate::interface::*;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+/// Figures of the core that are not the module's.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Bounds on what is open.
+    pub limits: Limits,
+    /// How long an engine may be silent within an answer.
+    pub silence: Duration,
+    /// How long one engine may take to accept a release.
+    pub release_patience: Duration,
+    /// How long after a broken read its state is let go, so that the call comes after the break.
+    pub release_delay: Duration,
+    /// How often counts are logged.
+    pub report_every: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            limits: Limits { requests: 800, bytes: 48 << 20 },
+            silence: Duration::from_secs(4),
+            release_patience: Duration::from_millis(100),
+            release_delay: Duration::from_millis(40),
+            report_every: Duration::from_secs(10),
+        }
+    }
+}
+
+/// What comes to the driver.
+pub(super) enum Input<E: Engines> {
+    Taken(Taken<E>),
+    Joined { id: RequestId, caller: Caller<E::Events> },
+    Gone { id: RequestId, caller: u64 },
+    Begun { id: RequestId, attempt: u32, result: Result<Begun<E::Events>, AttemptError> },
+    Ended { id: RequestId, attempt: u32, end: End },
+    Roster(Change),
+}
+
+/// Hands requests to a running driver.
+pub struct Gateway<E: Engines> {
+    inbox: mpsc::UnboundedSender<Input<E>>,
+    admission: Rc<RefCell<Admission>>,
+    roster: Rc<Roster>,
+    roles: Rc<[Role]>,
+    callers: Rc<Cell<u64>>,
+}
+
+impl<E: Engines> Clone for Gateway<E> {
+    fn clone(&self) -> Self {
+        Self {
+            inbox: self.inbox.clone(),
+            admission: self.admission.clone(),
+            roster: self.roster.clone(),
+            roles: self.roles.clone(),
+            callers: self.callers.clone(),
+        }
+    }
+}
+
+impl<E: Engines> Gateway<E> {
+    /// Takes a request; its answer is waited for on the ticket. The fingerprint tells requests under
+    /// one idempotency key apart.
+    pub fn submit(&self, submission: Submission<E::Job>, fingerprint: u64) -> Result<Ticket<E>, Rejected> {
+        let Submission { arrival, job, size, idempotency_key } = submission;
+        let id = arrival.id.clone();
+        let key = idempotency_key.map(|key| (key, fingerprint));
+        let admitted = self.admission.borrow_mut().admit(&id, size, key)?;
+        let (answer, ticket) = oneshot::channel();
+        let number = self.callers.get();
+        self.callers.set(number + 1);
+        let caller = Caller { number, answer };
+        let (id, input) = match admitted {
+            Admitted::New => (id, Input::Taken(Taken { arrival, job: Rc::new(job), caller })),
+            Admitted::Joins(id) => (id.clone(), Input::Joined { id, caller }),
+        };
+        self.inbox.send(input).map_err(|_| Rejected::Stopped)?;
+        Ok(Ticket::new(id, number, ticket, self.inbox.clone()))
+    }
+
+    /// Hands the driver news of the roster.
+    pub fn tell(&self, change: Change) -> Result<(), Rejected> {
+        self.inbox.send(Input::Roster(change)).map_err(|_| Rejected::Stopped)
+    }
+
+    /// Whether each role that a request needs is listed as ready.
+    pub fn can_serve(&self) -> bool {
+        let ready = self.roster.ready_kinds();
+        let has = |role: Role| ready.iter().any(|kind| self.roles.get(*kind) == Some(&role));
+        has(Role::Both) || has(Role::Read) && has(Role::Write)
+    }
+
+    /// How many requests are open.
+    pub fn open(&self) -> usize {
+        self.admission.borrow().open()
+    }
+}
+
+/// A number that requests under one idempotency key must share.
+pub fn fingerprint(parts: &[&[u8]]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    parts.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// An attempt that is out: a task until its answer begins, then a relay.
+enum Out {
+    Sent(AbortHandle),
+    Relayed,
+    Over,
+}
+
+struct Attempt {
+    server: ServerId,
+    reading: bool,
+    out: Out,
+}
+
+struct Open<E: Engines> {
+    job: Rc<E::Job>,
+    callers: Vec<Caller<E::Events>>,
+    expires: Micros,
+    attempts: Vec<Attempt>,
+    /// How many attempts are out; the book looks at it before it tries a release again.
+    out: Rc<Cell<usize>>,
+    answered: bool,
+    /// Whether an answer has begun: engines let go of the rest by themselves.
+    streamed: bool,
+    /// Whether a read broke, whose state may turn up just after.
+    broken_read: bool,
+    /// Whether a release is already about to go out.
+    release_waits: Rc<Cell<bool>>,
+}
+
+impl<E: Engines> Open<E> {
+    /// Marks an attempt as over; gives its server if it was out.
+    fn over(&mut self, attempt: u32) -> Option<ServerId> {
+        let attempt = self.attempts.get_mut(attempt as usize)?;
+        if matches!(attempt.out, Out::Over) {
+            return None;
+        }
+        attempt.out = Out::Over;
+        self.out.set(self.out.get() - 1);
+        Some(attempt.server)
+    }
+}
+
+struct Driver<E: Engines> {
+    clock: Clock,
+    engines: Rc<E>,
+    roster: Rc<Roster>,
+    roles: Rc<[Role]>,
+    max_attempts: usize,
+    tuning: Tuning,
+    route: Route,
+    book: Book<E>,
+    admission: Rc<RefCell<Admission>>,
+    inbox: mpsc::UnboundedReceiver<Input<E>>,
+    sender: mpsc::UnboundedSender<Input<E>>,
+    open: HashMap<RequestId, Open<E>>,
+    /// Requests that may be over after this turn.
+    touched: Vec<RequestId>,
+}
+
+/// Starts a driver on this thread's local set. The task ends only by a panic or by being aborted.
+pub fn start<E: Engines>(
+    settings: Settings,
+    seed: u64,
+    engines: E,
+    tuning: Tuning,
+) -> Result<(Gateway<E>, tokio::task::JoinHandle<()>), SettingsError> {
+    let (sender, inbox) = mpsc::unbounded_channel();
+    let roster = Rc::new(Roster::default());
+    let roles: Rc<[Role]> = settings.roles.clone().into();
+    let admission = Rc::new(RefCell::new(Admission::new(tuning.limits)));
+    let engines = Rc::new(engines);
+    let max_attempts = settings.max_attempts as usize;
+    let mut driver = Driver {
+        clock: Clock::default(),
+        route: Route::new(Router::new(settings, seed)?),
+        book: Book::new(engines.clone(), roster.clone(), tuning.release_patience),
+        engines,
+        roster: roster.clone(),
+        roles: roles.clone(),
+        max_attempts,
+        tuning,
+        admission: admission.clone(),
+        inbox,
+        sender: sender.clone(),
+        open: HashMap::new(),
+        touched: Vec::new(),
+    };
+    let gateway = Gateway { inbox: sender, admission, roster, roles, callers: Rc::default() };
+    let task = tokio::task::spawn_local(async move { driver.run().await });
+    Ok((gateway, task))
+}
+
+impl<E: Engines> Driver<E> {
+    async fn run(&mut self) {
+        let mut report = tokio::time::interval(self.tuning.report_every);
+        loop {
+            let wait = self.route.next_timer().map(|due| self.clock.until(due));
+            tokio::select! {
+                biased;
+                Some(input) = self.inbox.recv() => self.take(input),
+                () = tokio::time::sleep(wait.unwrap_or(Duration::from_secs(3600))), if wait.is_some() => {}
+                _ = report.tick() => self.book.report(self.open.len()),
+            }
+            while let Ok(input) = self.inbox.try_recv() {
+                self.take(input);
+            }
+            // Some actions have an outcome at once, which is for the module's next turn.
+            loop {
+                let now = self.clock.now();
+                for action in self.route.decide(now) {
+                    self.carry_out(now, action);
+                }
+                if !self.route.is_pending() {
+                    break;
+                }
+            }
+            self.close();
+        }
+    }
+
+    // ---- What has come in ----
+
+    fn take(&mut self, input: Input<E>) {
+        match input {
+            Input::Taken(taken) => self.take_request(taken),
+            Input::Joined { id, caller } => {
+                if let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) {
+                    open.callers.push(caller);
+                }
+            }
+            Input::Gone { id, caller } => self.take_gone(id, caller),
+            Input::Begun { id, attempt, result } => self.take_begun(id, attempt, result),
+            Input::Ended { id, attempt, end } => self.take_ended(id, attempt, &end),
+            Input::Roster(change) => self.take_roster(&change),
+        }
+    }
+
+    fn take_request(&mut self, taken: Taken<E>) {
+        let open = Open {
+            job: taken.job,
+            callers: vec![taken.caller],
+            expires: self.clock.now() + taken.arrival.expires_in,
+            attempts: Vec::new(),
+            out: Rc::default(),
+            answered: false,
+            streamed: false,
+            broken_read: false,
+            release_waits: Rc::default(),
+        };
+        self.open.insert(taken.arrival.id.clone(), open);
+        self.route.tell(Event::Request(taken.arrival));
+    }
+
+    fn take_gone(&mut self, id: RequestId, caller: u64) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
+        open.callers.retain(|c| c.number != caller);
+        if open.callers.is_empty() {
+            open.answered = true;
+            self.book.abandoned();
+            self.admission.borrow_mut().answered(&id);
+            self.touched.push(id.clone());
+            self.route.tell(Event::Abandoned { id });
+        }
+    }
+
+    fn take_begun(&mut self, id: RequestId, attempt: u32, result: Result<Begun<E::Events>, AttemptError>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(was) = open.attempts.get_mut(attempt as usize) else { return };
+        if !matches!(was.out, Out::Sent(_)) {
+            return;
+        }
+        let (server, reading) = (was.server, was.reading);
+        let Begun { replied: Replied { reply, load }, first } = match result {
+            Ok(begun) => begun,
+            Err(error) => {
+                log::info!("attempt lost request={} n={attempt} server={:08x} {error}", id.0, server.0);
+                open.broken_read |= reading && send::status_of(&error) != Status::Moot;
+                return self.attempt_over(id, attempt, send::status_of(&error), 0.0, Load::default());
+            }
+        };
+        self.book.hear(server, self.clock.now());
+        let (status, note) = match reply {
+            Reply::Events(events) => {
+                was.out = Out::Relayed;
+                open.streamed = true;
+                open.answered = true;
+                let (inbox, to) = (self.sender.clone(), id.clone());
+                // A driver that has stopped needs no word of the end.
+                let report = move |end| drop(inbox.send(Input::Ended { id: to, attempt, end }));
+                let relay = Relay::new(first, events, self.tuning.silence, Box::new(report));
+                self.route.tell(Event::First { id: id.clone(), attempt });
+                self.admission.borrow_mut().answered(&id);
+                return self.book.answer(&mut open.callers, Answer::Events(relay));
+            }
+            Reply::Whole(body) => {
+                open.answered = true;
+                open.streamed = true;
+                self.admission.borrow_mut().answered(&id);
+                self.book.answer(&mut open.callers, Answer::Whole(body));
+                (Status::Served, 0.0)
+            }
+            Reply::Faulty(body) => {
+                open.answered = true;
+                self.admission.borrow_mut().answered(&id);
+                self.book.answer(&mut open.callers, Answer::Faulty(body));
+                (Status::Served, 0.0)
+            }
+            Reply::Read { cached_tokens } => (Status::Read, cached_tokens),
+            Reply::Declined { no_state } => (Status::Full, f64::from(u8::from(no_state))),
+            Reply::Error => (Status::Error, 0.0),
+        };
+        if !matches!(status, Status::Read | Status::Served) {
+            log::info!("attempt turned away request={} n={attempt} server={:08x} {status:?}", id.0, server.0);
+        }
+        self.attempt_over(id, attempt, status, note, load);
+    }
+
+    fn take_ended(&mut self, id: RequestId, attempt: u32, end: &End) {
+        self.book.ended(&id, end);
+        let status = match end {
+            End::Whole => Status::Served,
+            End::Broke(_) => Status::Reset,
+            End::ClientGone => {
+                self.route.tell(Event::Abandoned { id: id.clone() });
+                Status::Cancelled
+            }
+        };
+        self.attempt_over(id, attempt, status, 0.0, Load::default());
+    }
+
+    fn attempt_over(&mut self, id: RequestId, attempt: u32, status: Status, note: f64, load: Load) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if open.over(attempt).is_some() {
+            let finished = open.answered;
+            self.touched.push(id.clone());
+            self.route.tell(Event::Outcome(Outcome { id, attempt, status, finished, note, load }));
+        }
+    }
+
+    fn take_roster(&mut self, change: &Change) {
+        for endpoint in self.roster.apply(change) {
+            self.engines.forget(&endpoint);
+        }
+        let entries = change.engines.iter().map(|listed| listed.entry.clone()).collect();
+        self.route.tell(Event::Roster { form: change.form, entries });
+    }
+
+    // ---- What is to be done ----
+
+    fn carry_out(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, server } => self.send(id, server),
+            Action::Cancel { id, attempt } => self.cancel(id, attempt),
+            Action::Release { id } => self.release(id),
+            Action::Refuse { id } => self.answer(id, Answer::Refused { retry_after: 0 }),
+            Action::Fail { id } => {
+                let late = |open: &Open<E>| open.expires <= now + 100_000;
+                let timed_out = self.open.get(&id).is_some_and(late);
+                self.answer(id, Answer::Failed { timed_out });
+            }
+            // The roster comes unasked.
+            Action::Watch => {}
+            Action::Timer { token, after } => self.route.set_timer(now + after, token),
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer<E::Events>) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
+        open.answered = true;
+        self.admission.borrow_mut().answered(&id);
+        self.book.answer(&mut open.callers, answer);
+        self.touched.push(id);
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts.len() as u32;
+        let listed = self.roster.entry(server);
+        let reading = listed.as_ref().is_some_and(|l| self.roles.get(l.entry.kind) == Some(&Role::Read));
+        open.attempts.push(Attempt { server, reading, out: Out::Over });
+        open.out.set(open.out.get() + 1);
+        let allowed = !open.answered && open.attempts.len() <= self.max_attempts;
+        let out = match listed.filter(|_| allowed) {
+            Some(listed) => {
+                let call = Call {
+                    endpoint: listed.endpoint,
+                    id: id.clone(),
+                    job: open.job.clone(),
+                    patience: self.clock.until(open.expires),
+                    gate: Gate { roster: self.roster.clone(), server },
+                };
+                Out::Sent(send::start(&self.engines, call, attempt, &self.sender))
+            }
+            None => Out::Relayed,
+        };
+        let never_sent = matches!(out, Out::Relayed);
+        open.attempts[attempt as usize].out = out;
+        if never_sent {
+            self.attempt_over(id, attempt, Status::Moot, 0.0, Load::default());
+        }
+    }
+
+    fn cancel(&mut self, id: RequestId, attempt: u32) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(Attempt { out: Out::Sent(task), reading, .. }) = open.attempts.get(attempt as usize) else {
+            return;
+        };
+        task.abort();
+        open.broken_read |= *reading;
+        self.attempt_over(id, attempt, Status::Cancelled, 0.0, Load::default());
+    }
+
+    fn release(&mut self, id: RequestId) {
+        let Some(open) = self.open.get(&id).filter(|open| !open.streamed) else { return };
+        let late = open.answered && open.broken_read;
+        if late && open.release_waits.replace(true) {
+            return;
+        }
+        let delay = if late { self.tuning.release_delay } else { Duration::ZERO };
+        self.book.release(id, delay, open.out.clone(), open.release_waits.clone());
+    }
+
+    /// Forgets the requests that have their answer and nothing out.
+    fn close(&mut self) {
+        for id in std::mem::take(&mut self.touched) {
+            if self.open.get(&id).is_some_and(|open| open.answered && open.out.get() == 0) {
+                self.open.remove(&id);
+                self.admission.borrow_mut().leave(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,166 @@
+//! The gateway's core: it drives the decision module and knows no wire.
+//!
+//! A request passes the stages `take_in`, `admit`, `route`, `send`, `relay` and `book`, each a module
+//! of its own. Engines are reached through [`Engines`], the roster through [`Changes`]; fronts hand
+//! requests to a [`Gateway`] and wait for its [`Answer`].
+
+mod admit;
+mod book;
+mod clock;
+mod driver;
+mod relay;
+mod roster;
+mod route;
+mod send;
+mod take_in;
+
+pub use admit::Limits;
+pub use clock::Clock;
+pub use driver::{Gateway, Tuning, fingerprint, start};
+pub use relay::Relay;
+pub use roster::{Change, Changes, Gate, Listed};
+pub use take_in::{Rejected, Submission, Ticket};
+
+use crate::interface::{Load, Micros, RequestId};
+use bytes::Bytes;
+use std::fmt;
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// How far an attempt had come when it was lost. Only the first three prove that it never ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Not sent, and the engine was not tried: its drain was told in the meantime.
+    Withdrawn,
+    /// No connection came up.
+    Unconnected,
+    /// The connection broke before the request's last byte was written.
+    Unwritten,
+    /// All of the request was written; it may have run.
+    Written,
+    /// The gateway stopped waiting; it may have run or may yet.
+    TimedOut,
+}
+
+/// An attempt that brought no answer: how far it had come and why it ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptError {
+    /// How far it had come.
+    pub progress: Progress,
+    /// What was seen, for the log.
+    pub cause: String,
+}
+
+impl AttemptError {
+    /// An error of that progress.
+    pub fn new(progress: Progress, cause: impl fmt::Display) -> Self {
+        Self { progress, cause: cause.to_string() }
+    }
+}
+
+impl fmt::Display for AttemptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.progress, self.cause)
+    }
+}
+
+impl std::error::Error for AttemptError {}
+
+/// What an engine answered.
+#[derive(Debug)]
+pub enum Reply<S> {
+    /// The prompt is read; its state waits at the reader.
+    Read {
+        /// Prompt tokens that the reader had kept.
+        cached_tokens: f64,
+    },
+    /// The answer, as it is made.
+    Events(S),
+    /// The answer in one piece.
+    Whole(Bytes),
+    /// Turned away with proof that it never ran.
+    Declined {
+        /// Whether it was because there was no state to fetch.
+        no_state: bool,
+    },
+    /// The engine says that the request itself is at fault; the answer is passed on.
+    Faulty(Bytes),
+    /// An error; it may have run.
+    Error,
+}
+
+/// A reply with the load report that came with it.
+#[derive(Debug)]
+pub struct Replied<S> {
+    /// The answer.
+    pub reply: Reply<S>,
+    /// The engine's report, if any.
+    pub load: Load,
+}
+
+/// A running answer: its pieces in order, then its end or how it broke.
+pub trait EventStream: 'static {
+    /// The next piece; `None` once the answer is whole.
+    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>>;
+}
+
+/// One request to one engine.
+pub struct Call<J> {
+    /// Where the engine listens, as the roster told it.
+    pub endpoint: Arc<str>,
+    /// Which request.
+    pub id: RequestId,
+    /// What to send, in the engines' own terms.
+    pub job: Rc<J>,
+    /// How long the gateway will wait.
+    pub patience: Duration,
+    /// Asked again right before the first byte is written.
+    pub gate: Gate,
+}
+
+/// The engines as the core sees them.
+pub trait Engines: 'static {
+    /// A request in their own terms.
+    type Job: 'static;
+    /// A running answer.
+    type Events: EventStream;
+
+    /// Makes one attempt; dropping the future gives it up and closes its connection.
+    fn call(
+        &self,
+        call: Call<Self::Job>,
+    ) -> impl Future<Output = Result<Replied<Self::Events>, AttemptError>> + 'static;
+
+    /// Lets go of all that is held for a request; any engine takes the call.
+    fn release(
+        &self,
+        endpoint: Arc<str>,
+        id: RequestId,
+    ) -> impl Future<Output = Result<(), AttemptError>> + 'static;
+
+    /// The engine at the endpoint is gone: nothing is kept for it.
+    fn forget(&self, endpoint: &str);
+}
+
+/// A request's one final answer.
+pub enum Answer<S: EventStream> {
+    /// Served: the events as they come.
+    Events(Relay<S>),
+    /// Served in one piece.
+    Whole(Bytes),
+    /// The engine found the request at fault.
+    Faulty(Bytes),
+    /// Refused: trying again is harmless, best after the span.
+    Refused {
+        /// When to come back.
+        retry_after: Micros,
+    },
+    /// Failed: nothing is promised.
+    Failed {
+        /// Whether the time ran out, rather than an engine failing.
+        timed_out: bool,
+    },
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,12 @@
-//! cinderwood makes a request router's decisions in front of separate readers (prefill) and
+//! meadowlug makes a request router's decisions in front of separate readers (prefill) and
 //! writers (decode) of a language model.
 //!
 //! The library does no input or output and reads no clock. A host hands events to a
 //! [`Router`] together with its own time and carries out the actions that come back.
 //!
 //! ```
-//! use cinderwood::interface::*;
-//! use cinderwood::Router;
+//! use meadowlug::interface::*;
+//! use meadowlug::Router;
 //! use std::sync::Arc;
 //!
 //! let settings = Settings {
@@ -31,6 +31,11 @@
 #![forbid(unsafe_code)]
 
 pub mod choice;
+pub mod config;
+pub mod front;
+pub mod gateway;
 pub mod interface;
+pub mod log;
+pub mod net;
 
 pub use choice::Router;
--- /dev/null
+++ b/src/net/engines.rs
@@ -0,0 +1,206 @@
+//! Engines over HTTP/1.1: attempts, their answers, and releases.
+
+use super::pool::{Channel, Pool};
+use crate::config::LoadNames;
+use crate::gateway::{AttemptError, Call, Engines, EventStream, Progress, Replied, Reply};
+use crate::interface::{Load, RequestId};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+/// Most bytes of an answer that is read whole.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// How a request is worked on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// First read, then answered as a stream of events.
+    Staged,
+    /// Answered in one piece.
+    Single,
+}
+
+/// A request as engines are sent it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Path and query.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+    /// How it is worked on.
+    pub manner: Manner,
+}
+
+/// The engines behind a pool of connections.
+pub struct HttpEngines {
+    pool: Rc<Pool>,
+    load: LoadNames,
+    /// Whether engines hold state that must be let go.
+    stateful: bool,
+}
+
+impl HttpEngines {
+    /// Engines that hold state between the stages of a request, or not.
+    pub fn new(pool: Rc<Pool>, load: LoadNames, stateful: bool) -> Self {
+        Self { pool, load, stateful }
+    }
+}
+
+fn request(
+    method: Method,
+    endpoint: &str,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, AttemptError> {
+    let request = Request::builder().method(method).uri(path).header(HOST, endpoint);
+    request.body(Full::new(body)).map_err(|e| AttemptError::new(Progress::Unconnected, e))
+}
+
+fn call_request<J: AsRef<Job>>(call: &Call<J>) -> Result<Request<Full<Bytes>>, AttemptError> {
+    let job = (*call.job).as_ref();
+    let mut request = request(Method::POST, &call.endpoint, &job.path, job.body.clone())?;
+    let lost = |e: hyper::header::InvalidHeaderValue| AttemptError::new(Progress::Unconnected, e);
+    let headers = request.headers_mut();
+    headers.insert("req-id", call.id.0.parse().map_err(lost)?);
+    let wait = format!("{}m", call.patience.as_millis().max(1));
+    headers.insert("req-deadline", wait.parse().map_err(lost)?);
+    headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    Ok(request)
+}
+
+impl AsRef<Job> for Job {
+    fn as_ref(&self) -> &Job {
+        self
+    }
+}
+
+/// Reads an answer whole.
+async fn whole(channel: &Channel, body: Incoming) -> Result<Bytes, AttemptError> {
+    let read = Limited::new(body, ANSWER_BYTES).collect().await;
+    let lost = |e: Box<dyn std::error::Error + Send + Sync>| match e.downcast::<hyper::Error>() {
+        Ok(error) => channel.lost(*error),
+        Err(error) => AttemptError::new(Progress::Written, error),
+    };
+    Ok(read.map_err(lost)?.to_bytes())
+}
+
+fn declined(headers: &HeaderMap) -> bool {
+    headers.get("srv-declined").is_some_and(|value| value.as_bytes() == b"1")
+}
+
+/// What an answer read whole means.
+fn meaning(manner: Manner, status: StatusCode, declined: bool, body: Bytes) -> Reply<HttpEvents> {
+    match (manner, status) {
+        (_, StatusCode::GONE) if declined => Reply::Declined { no_state: true },
+        _ if declined => Reply::Declined { no_state: false },
+        (Manner::Staged, StatusCode::ACCEPTED) => {
+            let told: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+            let cached_tokens = told.get("cached_tokens").and_then(serde_json::Value::as_f64);
+            Reply::Read { cached_tokens: cached_tokens.unwrap_or(0.0).max(0.0) }
+        }
+        (Manner::Single, StatusCode::OK) => Reply::Whole(body),
+        (Manner::Single, status) if is_fault(status) => Reply::Faulty(body),
+        _ => Reply::Error,
+    }
+}
+
+/// Whether the status says that the request itself is at fault, wherever it is sent.
+fn is_fault(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE | StatusCode::UNPROCESSABLE_ENTITY
+    )
+}
+
+impl Engines for HttpEngines {
+    type Job = Job;
+    type Events = HttpEvents;
+
+    fn call(
+        &self,
+        call: Call<Job>,
+    ) -> impl Future<Output = Result<Replied<HttpEvents>, AttemptError>> + 'static {
+        let (pool, names) = (self.pool.clone(), self.load.clone());
+        async move {
+            let request = call_request(&call)?;
+            let mut channel = pool.take(&call.endpoint).await?;
+            if !call.gate.is_open() {
+                pool.put(call.endpoint, channel);
+                return Err(AttemptError::new(Progress::Withdrawn, "told to drain while connecting"));
+            }
+            let answer = channel.send(request, call.job.body.len()).await?;
+            let (head, body) = answer.into_parts();
+            let load = head.headers.get("srv-load").map_or(Load::default(), |l| names.read(l.as_bytes()));
+            if call.job.manner == Manner::Staged && head.status == StatusCode::OK {
+                let events = HttpEvents { body, line: Some((pool, call.endpoint, channel)) };
+                return Ok(Replied { reply: Reply::Events(events), load });
+            }
+            let body = whole(&channel, body).await?;
+            pool.put(call.endpoint, channel);
+            Ok(Replied { reply: meaning(call.job.manner, head.status, declined(&head.headers), body), load })
+        }
+    }
+
+    fn release(
+        &self,
+        endpoint: Arc<str>,
+        id: RequestId,
+    ) -> impl Future<Output = Result<(), AttemptError>> + 'static {
+        let (pool, stateful) = (self.pool.clone(), self.stateful);
+        async move {
+            if !stateful {
+                return Ok(());
+            }
+            let request = request(Method::DELETE, &endpoint, &format!("/state/{}", id.0), Bytes::new())?;
+            let mut channel = pool.take(&endpoint).await?;
+            let answer = channel.send(request, 0).await?;
+            let status = answer.status();
+            whole(&channel, answer.into_body()).await?;
+            pool.put(endpoint, channel);
+            let refused = || AttemptError::new(Progress::Written, format!("status {status}"));
+            status.is_success().then_some(()).ok_or_else(refused)
+        }
+    }
+
+    fn forget(&self, endpoint: &str) {
+        self.pool.forget(endpoint);
+    }
+}
+
+/// The events of a running answer.
+pub struct HttpEvents {
+    body: Incoming,
+    /// The connection, until the answer has ended.
+    line: Option<(Rc<Pool>, Arc<str>, Channel)>,
+}
+
+impl EventStream for HttpEvents {
+    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>> {
+        loop {
+            let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                }
+                Some(Err(error)) => {
+                    self.line = None;
+                    return Poll::Ready(Some(Err(AttemptError::new(Progress::Written, error))));
+                }
+                None => {
+                    if let Some((pool, endpoint, channel)) = self.line.take() {
+                        pool.put(endpoint, channel);
+                    }
+                    return Poll::Ready(None);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/transport.rs
@@ -0,0 +1,136 @@
+//! A connection to an engine that knows how much of a request has been written to it.
+
+use std::cell::Cell;
+use std::io;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Counts the bytes of the request in hand that the kernel has taken.
+#[derive(Debug, Default)]
+pub(super) struct Meter {
+    written: Cell<usize>,
+    /// How much of the blank line that ends the head has just been seen.
+    matched: Cell<usize>,
+    /// Length of the head, once it was written.
+    head: Cell<Option<usize>>,
+    body: Cell<usize>,
+}
+
+impl Meter {
+    /// A new request with a body of that length.
+    pub(super) fn begin(&self, body: usize) {
+        self.written.set(0);
+        self.matched.set(0);
+        self.head.set(None);
+        self.body.set(body);
+    }
+
+    fn count(&self, bytes: &[u8]) {
+        if self.head.get().is_none() {
+            for (at, byte) in bytes.iter().enumerate() {
+                let matched = match self.matched.get() {
+                    n if HEAD_END[n] == *byte => n + 1,
+                    _ => usize::from(*byte == b'\r'),
+                };
+                self.matched.set(matched);
+                if matched == HEAD_END.len() {
+                    self.head.set(Some(self.written.get() + at + 1));
+                    break;
+                }
+            }
+        }
+        self.written.set(self.written.get() + bytes.len());
+    }
+
+    /// Whether the last byte of the request was written: from then on it may run.
+    pub(super) fn is_complete(&self) -> bool {
+        self.head.get().is_some_and(|head| self.written.get() >= head + self.body.get())
+    }
+}
+
+/// The connection itself, shared with the pool, which looks at it before it is used again.
+pub(super) struct Wire {
+    pub(super) stream: Rc<TcpStream>,
+    pub(super) meter: Rc<Meter>,
+}
+
+/// Whether the other side has closed the connection or sent what nobody asked for.
+pub(super) fn is_stale(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    match socket2::SockRef::from(stream).peek(&mut byte) {
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        Ok(_) => true,
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
+                Ok(read) => {
+                    buffer.advance(read);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write(bytes) {
+                Ok(written) => {
+                    self.meter.count(&bytes[..written]);
+                    return Poll::Ready(Ok(written));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Meter;
+    use rstest::rstest;
+
+    // "Never ran" is claimed only up to the last byte: one byte less is the whole difference.
+    #[rstest]
+    #[case::head_in_two_writes(&["POST / HTTP/1.1\r\nA: b\r", "\n\r\nbo"], 2, true)]
+    #[case::last_byte_missing(&["POST / HTTP/1.1\r\n\r\nbod"], 4, false)]
+    #[case::no_body(&["DELETE / HTTP/1.1\r\n\r\n"], 0, true)]
+    #[case::head_not_ended(&["DELETE / HTTP/1.1\r\n\r"], 0, false)]
+    #[case::blank_line_in_the_body(&["POST / HTTP/1.1\r\n\r\n", "\r\n\r\n"], 5, false)]
+    fn meter_knows_the_last_byte(#[case] writes: &[&str], #[case] body: usize, #[case] complete: bool) {
+        let meter = Meter::default();
+        meter.begin(body);
+        for write in writes {
+            meter.count(write.as_bytes());
+        }
+        assert_eq!(meter.is_complete(), complete);
+    }
+}
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -13,7 +13,7 @@
     M size=1 az=0 unitGroup=0 worker=2 condition=ready classOfHost=1 startTimeMs=1.0 extra=4";
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cinderwood-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_meadowlug-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small harness: one router, its clock, and short ways to say what happened.
 #![allow(dead_code)] // each test file uses its own part
 
-use cinderwood::Router;
-use cinderwood::interface::*;
+use meadowlug::Router;
+use meadowlug::interface::*;
 use std::sync::Arc;
 
 /// Servers 1 to 9 read, 11 to 19 write, 21 to 29 do both.
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -1,8 +1,8 @@
 //! One test for each failure found, named for the danger.
 
 mod common;
-use cinderwood::interface::*;
 use common::*;
+use meadowlug::interface::*;
 
 #[test]
 fn events_for_the_unknown_are_ignored() {
@@ -30,8 +30,8 @@
 
 #[test]
 fn settings_without_classes_or_kinds_are_refused() {
-    assert!(cinderwood::Router::new(Settings { classes: vec![], ..settings() }, 0).is_err());
-    assert!(cinderwood::Router::new(Settings { roles: vec![], ..settings() }, 0).is_err());
+    assert!(meadowlug::Router::new(Settings { classes: vec![], ..settings() }, 0).is_err());
+    assert!(meadowlug::Router::new(Settings { roles: vec![], ..settings() }, 0).is_err());
 }
 
 #[test]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,8 +1,8 @@
 //! The design's mechanism: release order, tiers, refusal, estimate, writer choice.
 
 mod common;
-use cinderwood::interface::*;
 use common::*;
+use meadowlug::interface::*;
 
 #[test]
 fn requests_leave_by_deadline_not_by_arrival() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,8 +1,8 @@
 //! The five rules, one by one, each named for what would break it.
 
 mod common;
-use cinderwood::interface::*;
 use common::*;
+use meadowlug::interface::*;
 
 fn unsafe_request(name: &str) -> Arrival {
     Arrival { class: 1, ..arrival(name) }
