Tell refused clients to come back after half a second

The action now carries retry_after, which the adapter writes as waitMs and the platform's front as Retry-After.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -62,6 +62,8 @@
 const ADMIT_MORE: f64 = 0.04;
 const ADMIT_LESS: f64 = 0.8;
 const ADMIT_LEAST: f64 = 0.2;
+/// When a refused client is told to come back: a queue that was too long needs that to be shorter.
+const RETRY_AFTER: Micros = 500_000;
 /// How often open requests are looked at.
 const TICK: Micros = 20_000;
 
@@ -400,7 +402,8 @@
             return self.recall(id);
         }
         let (id, refuse) = (id.clone(), self.may_refuse(request));
-        let answer = if refuse { Action::Refuse { id: id.clone() } } else { Action::Fail { id: id.clone() } };
+        let refusal = Action::Refuse { id: id.clone(), retry_after: RETRY_AFTER };
+        let answer = if refuse { refusal } else { Action::Fail { id: id.clone() } };
         self.end(&id, Some(answer));
     }
 
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -375,7 +375,7 @@
             Action::Send { id, server } => self.send(id, server),
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
             Action::Release { id } => self.release(id),
-            Action::Refuse { id } => self.answer(id, Answer::Refused { retry_after: 0 }),
+            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused { retry_after }),
             Action::Fail { id } => {
                 let late = |open: &Open<E>| open.expires <= now + 100_000;
                 let timed_out = self.open.get(&id).is_some_and(late);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -316,6 +316,8 @@
     Refuse {
         /// Which request.
         id: RequestId,
+        /// When its client had best come back.
+        retry_after: Micros,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
