Add the embeddings and rerank front on the same core, and real-socket tests of the chat rules

Seen: with no reader listed the module sent every one-stage request to the first mixed server by id, three at a time, and called it off after 1.2 s (choose_reader's fallback, recall_overdue): a pool of mixed servers would have used one of them and repeated slow calls everywhere. Now such a server has the reader's cap, the one with the fewest own tokens is taken, answers in one piece teach the read estimate, and until there are ten the class's aim stands in for it. Two module tests. Remaining: the loopback test of the second front.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -518,7 +518,13 @@
                 self.fit.learn(self.now, uncached, took);
                 self.hear(server);
             }
-            Status::Served => self.hear(server),
+            Status::Served => {
+                if phase == Phase::Writing(None) {
+                    // Answered in one piece: the whole of it is what a server takes that does all by itself.
+                    self.fit.learn(self.now, uncached, took);
+                }
+                self.hear(server);
+            }
             Status::TimedOut if outcome.finished => {}
             Status::Error | Status::Reset | Status::NoConnection | Status::TimedOut => {
                 self.kept.remove(&(session_lot, server));
@@ -619,6 +625,8 @@
                     out.reads += 1;
                     out.backlog_s += attempt.work_s;
                 } else {
+                    let alone = request.phase == Phase::Writing(None);
+                    out.backlog_s += f64::from(u8::from(alone)) * attempt.work_s;
                     out.tokens += self.stream_tokens(request);
                 }
             }
@@ -768,6 +776,9 @@
 
     fn choose_reader(&self, id: &RequestId, slack_s: f64) -> Option<ServerId> {
         let request = &self.requests[id];
+        if self.listed(true).next().is_none() {
+            return self.choose_alone(request);
+        }
         if !self.writer_room() {
             return None;
         }
@@ -787,13 +798,22 @@
         let away = |r: &Read| self.servers[&r.server].entry.zone != self.settings.zone;
         let cost = |r: &Read| r.total_s + f64::from(u8::from(away(r))) * AWAY_S;
         let by = |a: &Read, b: &Read| cost(a).total_cmp(&cost(b)).then(a.rank.cmp(&b.rank));
-        let best = open.iter().min_by(|a, b| by(a, b)).map(|r| r.server);
-        if self.listed(true).next().is_some() {
-            return best;
-        }
-        // No reader is listed at all: a mixed server can still read and answer by itself.
-        let alone = |s: &ServerId| self.servers[s].role == Role::Both || self.settings.writers_read;
-        self.candidates(request, false).into_iter().find(alone)
+        open.iter().min_by(|a, b| by(a, b)).map(|r| r.server)
+    }
+
+    /// No reader is listed at all: a mixed server can still read and answer by itself. It gets no more
+    /// at once than a reader and no more than it has memory for; the one with the fewest own tokens is taken.
+    fn choose_alone(&self, request: &Request) -> Option<ServerId> {
+        let mut open = self.candidates(request, false);
+        open.retain(|s| {
+            let (server, out) = (&self.servers[s], self.out(*s));
+            let alone = server.role == Role::Both || self.settings.writers_read;
+            let fits = out.tokens + request.ask.prompt_tokens <= SHARE_FULL * server.memory;
+            alone && (out.attempts == 0 || out.waiting < READER_CAP && fits)
+        });
+        let lot = |s: &ServerId| mix(request.lot, u64::from(s.0));
+        let tokens = |s: &ServerId| self.out(*s).tokens;
+        open.into_iter().min_by(|a, b| tokens(a).total_cmp(&tokens(b)).then(lot(a).cmp(&lot(b))))
     }
 
     fn send(&mut self, id: &RequestId, server: ServerId) {
@@ -809,6 +829,8 @@
         let (phase, expected_s) = match request.phase {
             _ if reading => (Phase::Reading, read.total_s),
             Phase::Held(reader, _) => (Phase::Writing(Some(reader)), self.start_s),
+            // Until there are answers the aim stands in for an estimate of one that comes in one piece.
+            _ if self.fit.answers < FIT_AFTER => (Phase::Writing(None), seconds(request.aim - request.came)),
             _ => (Phase::Writing(None), read.total_s + self.start_s),
         };
         request.phase = phase;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,7 +1,9 @@
 //! The gateway's configuration: decoded, checked, and turned into what the parts need.
 
+mod inference;
 mod list;
 
+pub use inference::{Api, Inference, InferencePool, Repeat};
 pub use list::{List, Names, Numbers, Target, place};
 
 use crate::interface::{Class, Effect, Group, Load, Micros, Role, Settings};
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,129 @@
+//! Puts the parts together and serves until it is stopped.
+
+use crate::config::{self, Config};
+use crate::front::{Fronts, Inference, Model, Platform};
+use crate::gateway::{self, Changes, Gateway, Tuning};
+use crate::interface::Settings;
+use crate::net::{self, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
+use std::error::Error;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+/// How long after the signal new connections and requests are still taken.
+const LEAVING: Duration = Duration::from_millis(500);
+/// What is let go after the last answer still has to reach an engine.
+const LAST_RELEASES: Duration = Duration::from_millis(300);
+/// How often idle connections are looked at.
+const RETIRE_EVERY: Duration = Duration::from_secs(1);
+/// How long a client's connection may stand without a whole head.
+const CLIENT_IDLE: Duration = Duration::from_secs(60);
+
+/// Hands the roster's changes to a driver.
+async fn follow(mut changes: impl Changes, gateway: Gateway<HttpEngines>) {
+    while let Some(change) = changes.next().await {
+        log::info!("roster rev={} form={:?} entries={}", change.revision, change.form, change.engines.len());
+        if gateway.tell(change).is_err() {
+            return;
+        }
+    }
+}
+
+/// Starts drivers, and tells when one has ended.
+struct Drivers {
+    pool: Rc<Pool>,
+    seed: u64,
+    ended: mpsc::Sender<String>,
+}
+
+impl Drivers {
+    fn start(
+        &self,
+        settings: Settings,
+        tuning: Tuning,
+        engines: HttpEngines,
+        roster: Watch,
+    ) -> Result<Gateway<HttpEngines>, Box<dyn Error>> {
+        let (gateway, driver) = gateway::start(settings, self.seed, engines, tuning)?;
+        tokio::task::spawn_local(follow(roster, gateway.clone()));
+        let ended = self.ended.clone();
+        tokio::task::spawn_local(async move {
+            let how = format!("{:?}", driver.await);
+            // Nobody is left to tell when the daemon has returned.
+            let _ = ended.send(how).await;
+        });
+        Ok(gateway)
+    }
+
+    fn models(&self, file: &config::Inference) -> Result<Vec<Model>, Box<dyn Error>> {
+        let mut models = Vec::new();
+        for pool in &file.pools {
+            let mut tuning = Tuning::default();
+            tuning.limits.keep = file.keep_answers();
+            let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false);
+            let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
+            let roster = Watch::new(&pool.discovery, names, pool.known.clone());
+            let gateway = self.start(file.settings(pool), tuning, engines, roster)?;
+            models.push(Model {
+                name: pool.model.clone(),
+                api: pool.api,
+                deadline: pool.deadline_ms * 1000,
+                max_inputs: pool.max_inputs,
+                gateway,
+            });
+        }
+        Ok(models)
+    }
+}
+
+/// Serves on the listener until `stop` is done and what is open has ended.
+pub async fn run(
+    config: Config,
+    inference: Option<config::Inference>,
+    listener: TcpListener,
+    stop: impl Future<Output = std::io::Result<()>>,
+) -> Result<(), Box<dyn Error>> {
+    let sockets = config.resources.sockets;
+    let pool = Pool::new(PoolLimits {
+        connections: sockets * 3 / 10,
+        dial_timeout: config.dial_timeout,
+        idle: config.idle_limit / 2,
+    });
+    let (ended, mut drivers_end) = mpsc::channel(1);
+    let drivers = Drivers { pool: pool.clone(), seed: config.seed, ended };
+    let engines = HttpEngines::new(pool.clone(), config.load.clone(), true);
+    let roster = Watch::new(&config.discovery, config.names.clone(), config.known);
+    let classes = config.settings.classes.clone();
+    let chat = drivers.start(config.settings, Tuning::default(), engines, roster)?;
+    let models = inference.as_ref().map(|file| drivers.models(file)).transpose()?;
+    let stamp = gateway::Clock::default().now() ^ config.seed.rotate_left(32);
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(RETIRE_EVERY).await;
+            pool.retire();
+        }
+    });
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let fronts = Fronts {
+        platform: Platform::new(chat.clone(), config.names, classes),
+        inference: models.map(|models| Inference::new(models, stamp)),
+        phase: phases.clone(),
+    };
+    log::info!("serving name={} listen={}", config.name, listener.local_addr()?);
+    let limits = ServeLimits { connections: sockets / 2, spare: sockets / 10, idle: CLIENT_IDLE };
+    let served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, phases));
+    tokio::select! {
+        Some(how) = drivers_end.recv() => return Err(format!("a driver ended: {how}").into()),
+        asked = stop => asked?,
+    }
+    log::info!("stopping open={}", chat.open());
+    phase.send_replace(Phase::Leaving);
+    tokio::time::sleep(LEAVING).await;
+    phase.send_replace(Phase::Closing);
+    served.await?;
+    tokio::time::sleep(LAST_RELEASES).await;
+    log::info!("stopped open={}", chat.open());
+    Ok(())
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,66 @@
 //! Fronts: what clients speak, turned into what the core takes in, and its answers turned back.
 
+mod inference;
 mod platform;
 mod reply;
 
-pub use platform::{Platform, Shared};
+pub use inference::{Inference, Model};
+pub use platform::Platform;
+
+use crate::gateway::Rejected;
+use crate::net::{Front, FrontBody, Phase};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::sync::watch;
+
+/// All that one listener answers, by path.
+pub struct Fronts {
+    /// Chat, by the platform's protocol.
+    pub platform: Platform,
+    /// Embeddings and rerank, where an operator has set them up.
+    pub inference: Option<Inference>,
+    /// How far a planned stop has come.
+    pub phase: watch::Receiver<Phase>,
+}
+
+impl Fronts {
+    fn ready(&self) -> Response<FrontBody> {
+        let serving = *self.phase.borrow() == Phase::Serving;
+        let inference = self.inference.as_ref().is_none_or(Inference::can_serve);
+        if serving && self.platform.can_serve() && inference {
+            reply::json(StatusCode::OK, Bytes::from_static(b"{\"ready\":true}"))
+        } else {
+            reply::error(StatusCode::SERVICE_UNAVAILABLE, "not ready to serve")
+        }
+    }
+}
+
+impl Front for Fronts {
+    async fn handle(&self, request: Request<Incoming>) -> Response<FrontBody> {
+        let path = request.uri().path();
+        let inference = self.inference.as_ref().and_then(|front| Some((front, Inference::api(path)?)));
+        let wanted = match path {
+            "/ready" => Method::GET,
+            "/v1/chat/completions" => Method::POST,
+            _ if inference.is_some() => Method::POST,
+            _ => return reply::error(StatusCode::NOT_FOUND, "no such path"),
+        };
+        if request.method() != wanted {
+            let mut response = reply::error(StatusCode::METHOD_NOT_ALLOWED, "no such method here");
+            let allowed = if wanted == Method::GET { "GET" } else { "POST" };
+            response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+            return response;
+        }
+        match inference {
+            Some((front, api)) => front.call(api, request).await,
+            None if wanted == Method::GET => self.ready(),
+            None => self.platform.chat(request).await,
+        }
+    }
+
+    fn too_many(&self) -> Response<FrontBody> {
+        platform::rejection(Rejected::Busy)
+    }
+}
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -4,15 +4,14 @@
 use crate::config::{Names, place};
 use crate::gateway::{Answer, Gateway, Rejected, Submission};
 use crate::interface::{Arrival, Class, Micros, RequestId};
-use crate::net::{Front, FrontBody, HttpEngines, Job, Manner, Phase};
+use crate::net::{FrontBody, HttpEngines, Job, Manner};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
 
 /// Most bytes of a body.
 pub(super) const BODY_BYTES: usize = 256 << 10;
@@ -23,37 +22,25 @@
 /// When to come back after the gateway itself had no room.
 const BUSY_RETRY: Micros = 500_000;
 
-/// What the front needs to know of the deployment.
-#[derive(Clone, Debug)]
-pub struct Shared {
-    /// Names of classes and tenants.
-    pub names: Names,
-    /// The classes, for the deadline of a request that tells none.
-    pub classes: Vec<Class>,
-}
-
 /// The platform's front.
 pub struct Platform {
     gateway: Gateway<HttpEngines>,
-    shared: Shared,
-    phase: watch::Receiver<Phase>,
+    names: Names,
+    classes: Vec<Class>,
 }
 
 impl Platform {
-    /// A front of the gateway.
-    pub fn new(gateway: Gateway<HttpEngines>, shared: Shared, phase: watch::Receiver<Phase>) -> Self {
-        Self { gateway, shared, phase }
+    /// A front of the gateway; the classes give the deadline of a request that tells none.
+    pub fn new(gateway: Gateway<HttpEngines>, names: Names, classes: Vec<Class>) -> Self {
+        Self { gateway, names, classes }
     }
 
-    fn ready(&self) -> Response<FrontBody> {
-        if *self.phase.borrow() == Phase::Serving && self.gateway.can_serve() {
-            reply::json(StatusCode::OK, Bytes::from_static(b"{\"ready\":true}"))
-        } else {
-            reply::error(StatusCode::SERVICE_UNAVAILABLE, "not ready to serve")
-        }
+    pub(super) fn can_serve(&self) -> bool {
+        self.gateway.can_serve()
     }
 
-    async fn chat(&self, request: Request<Incoming>) -> Response<FrontBody> {
+    /// Answers a chat request.
+    pub(super) async fn chat(&self, request: Request<Incoming>) -> Response<FrontBody> {
         let came = Instant::now();
         let path = request.uri().path_and_query().map_or_else(String::new, ToString::to_string);
         let (head, body) = request.into_parts();
@@ -64,42 +51,21 @@
         if let Err(message) = check_chat(&body) {
             return reply::error(StatusCode::BAD_REQUEST, message);
         }
-        let mut arrival = match arrival(&head.headers, &self.shared, body.len()) {
+        let mut arrival = match arrival(&head.headers, &self.names, &self.classes, body.len()) {
             Ok(arrival) => arrival,
             Err(message) => return reply::error(StatusCode::BAD_REQUEST, &message),
         };
         arrival.expires_in = arrival.expires_in.saturating_sub(came.elapsed().as_micros() as Micros);
         let size = body.len();
         let job = Job { path, body, manner: Manner::Staged };
-        let submission = Submission { arrival, job, size, idempotency_key: None };
-        match self.gateway.submit(submission, 0) {
+        let submission = Submission { arrival, job, size, key: None };
+        match self.gateway.submit(submission) {
             Ok(ticket) => respond(ticket.answer().await),
             Err(rejected) => rejection(rejected),
         }
     }
 }
 
-impl Front for Platform {
-    async fn handle(&self, request: Request<Incoming>) -> Response<FrontBody> {
-        let path = request.uri().path();
-        let (wanted, chat) = match path {
-            "/ready" => (Method::GET, false),
-            "/v1/chat/completions" => (Method::POST, true),
-            _ => return reply::error(StatusCode::NOT_FOUND, "no such path"),
-        };
-        if request.method() != wanted {
-            let mut response = reply::error(StatusCode::METHOD_NOT_ALLOWED, "no such method here");
-            response.headers_mut().insert(ALLOW, HeaderValue::from_static(if chat { "POST" } else { "GET" }));
-            return response;
-        }
-        if chat { self.chat(request).await } else { self.ready() }
-    }
-
-    fn too_many(&self) -> Response<FrontBody> {
-        rejection(Rejected::Busy)
-    }
-}
-
 /// Reads a request's body within its bounds of size and time.
 pub(super) async fn read_body(body: Incoming) -> Result<Bytes, Response<FrontBody>> {
     match tokio::time::timeout(BODY_PATIENCE, Limited::new(body, BODY_BYTES).collect()).await {
@@ -164,13 +130,13 @@
     }
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, String> {
+pub(super) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, String> {
     let text = |value: &'a HeaderValue| value.to_str().map_err(|_| format!("{name}: not text"));
     headers.get(name).map(text).transpose().map(|value| value.map(str::trim))
 }
 
 /// Reads a span such as `4800m` or `250u`, in microseconds.
-fn span(text: &str) -> Option<Micros> {
+pub(super) fn span(text: &str) -> Option<Micros> {
     let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
     let scale = match unit {
         "m" => 1_000.0,
@@ -188,17 +154,17 @@
 }
 
 /// What the headers of a chat request tell.
-fn arrival(headers: &HeaderMap, shared: &Shared, body: usize) -> Result<Arrival, String> {
+fn arrival(headers: &HeaderMap, names: &Names, classes: &[Class], body: usize) -> Result<Arrival, String> {
     let required = |name: &str| header(headers, name)?.ok_or_else(|| format!("{name}: missing"));
     let id = request_id(required("req-id")?).ok_or("req-id: not an id")?;
-    let class = place(&shared.names.classes, required("req-kind")?).ok_or("req-kind: no such class")?;
+    let class = place(&names.classes, required("req-kind")?).ok_or("req-kind: no such class")?;
     let tenant = match header(headers, "req-owner")? {
-        None if shared.names.tenants.is_empty() => 0,
+        None if names.tenants.is_empty() => 0,
         None => return Err("req-owner: missing".into()),
-        Some(name) => place(&shared.names.tenants, name).ok_or("req-owner: no such tenant")?,
+        Some(name) => place(&names.tenants, name).ok_or("req-owner: no such tenant")?,
     };
     let expires_in = match header(headers, "req-deadline")? {
-        None => shared.classes[class].deadline,
+        None => classes[class].deadline,
         Some(text) => span(text).ok_or("req-deadline: not a span")?,
     };
     let mut arrival = Arrival {
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -1,60 +1,105 @@
-//! Second stage: bounds on what is open, and repeats that join the try that runs.
+//! Second stage: bounds on what is open, who waits for it, and repeats that run nothing twice.
 
-use super::Rejected;
+use super::take_in::Caller;
+use super::{Answer, EventStream, Rejected};
 use crate::interface::RequestId;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-/// Bounds on what may be open at once.
+/// Bounds on what may be open at once, and on what is kept for repeats.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Open requests.
     pub requests: usize,
     /// Bytes of their bodies together.
     pub bytes: usize,
+    /// For how long the answer under an idempotency key is kept.
+    pub keep: Duration,
+    /// Bytes of kept answers together.
+    pub keep_bytes: usize,
 }
 
-/// What admission decides.
+/// An idempotency key and a number that all requests under it must share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// The key, unique for its client.
+    pub key: Arc<str>,
+    /// What the request asks, as a number.
+    pub fingerprint: u64,
+}
+
+/// What admission made of a request.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum Admitted {
     /// It is new and is to be routed.
     New,
-    /// It joins the open request of that id.
-    Joins(RequestId),
+    /// It waits for the open request of that id.
+    Joined(RequestId),
+    /// It was answered with what an earlier try got.
+    Answered,
 }
 
-struct Held {
+struct Held<S: EventStream> {
     size: usize,
-    key: Option<Arc<str>>,
+    key: Option<Key>,
+    callers: Vec<Caller<S>>,
 }
 
-/// The requests that hold room.
-pub(super) struct Admission {
+enum Try<S: EventStream> {
+    Runs(RequestId),
+    Ended(Answer<S>),
+}
+
+/// The requests that hold room, and the answers kept for repeats.
+pub(super) struct Admission<S: EventStream> {
     limits: Limits,
     bytes: usize,
-    open: HashMap<RequestId, Held>,
-    /// By idempotency key: the request that runs under it and a fingerprint of what it asks.
-    keys: HashMap<Arc<str>, (RequestId, u64)>,
+    kept_bytes: usize,
+    open: HashMap<RequestId, Held<S>>,
+    keys: HashMap<Arc<str>, (u64, Try<S>)>,
+    /// Keys of kept answers, the oldest first, with their sizes.
+    kept: VecDeque<(Instant, Arc<str>, usize)>,
 }
 
-impl Admission {
+impl<S: EventStream> Admission<S> {
     pub(super) fn new(limits: Limits) -> Self {
-        Self { limits, bytes: 0, open: HashMap::new(), keys: HashMap::new() }
+        Self {
+            limits,
+            bytes: 0,
+            kept_bytes: 0,
+            open: HashMap::new(),
+            keys: HashMap::new(),
+            kept: VecDeque::new(),
+        }
     }
 
     pub(super) fn admit(
         &mut self,
         id: &RequestId,
         size: usize,
-        key: Option<(Arc<str>, u64)>,
+        key: Option<Key>,
+        caller: Caller<S>,
     ) -> Result<Admitted, Rejected> {
-        if let Some((key, fingerprint)) = &key
-            && let Some((running, asked)) = self.keys.get(key)
+        self.expire();
+        if let Some(key) = &key
+            && let Some((fingerprint, earlier)) = self.keys.get(&key.key)
         {
-            return if asked == fingerprint {
-                Ok(Admitted::Joins(running.clone()))
-            } else {
-                Err(Rejected::KeyReused)
+            if *fingerprint != key.fingerprint {
+                return Err(Rejected::KeyReused);
+            }
+            return match earlier {
+                Try::Ended(answer) => {
+                    caller.take(answer.again());
+                    Ok(Admitted::Answered)
+                }
+                Try::Runs(running) => {
+                    let joined = running.clone();
+                    if let Some(held) = self.open.get_mut(&joined) {
+                        held.callers.push(caller);
+                    }
+                    Ok(Admitted::Joined(joined))
+                }
             };
         }
         if self.open.contains_key(id) {
@@ -64,24 +109,42 @@
             return Err(Rejected::Busy);
         }
         self.bytes += size;
-        let held = key.map(|(key, fingerprint)| {
-            self.keys.insert(key.clone(), (id.clone(), fingerprint));
-            key
-        });
-        self.open.insert(id.clone(), Held { size, key: held });
+        if let Some(key) = &key {
+            self.keys.insert(key.key.clone(), (key.fingerprint, Try::Runs(id.clone())));
+        }
+        self.open.insert(id.clone(), Held { size, key, callers: vec![caller] });
         Ok(Admitted::New)
     }
 
-    /// Nobody can join the request any more: it has its answer.
-    pub(super) fn answered(&mut self, id: &RequestId) {
-        if let Some(key) = self.open.get_mut(id).and_then(|held| held.key.take()) {
+    /// A caller has gone. Whether the request is abandoned by that: one under a key is not, since its
+    /// client is likely to ask again while it runs.
+    pub(super) fn gone(&mut self, id: &RequestId, caller: u64) -> bool {
+        let Some(held) = self.open.get_mut(id) else { return false };
+        let waited = held.callers.len();
+        held.callers.retain(|c| c.number != caller);
+        waited > 0 && held.callers.is_empty() && held.key.is_none()
+    }
+
+    /// The request has its answer: gives who waits for it, and keeps what repeats must be told. `keep`
+    /// says whether it is one that a repeat must be told instead of running again.
+    pub(super) fn answered(&mut self, id: &RequestId, answer: &Answer<S>, keep: bool) -> Vec<Caller<S>> {
+        let Some(held) = self.open.get_mut(id) else { return Vec::new() };
+        let callers = std::mem::take(&mut held.callers);
+        if let Some(Key { key, fingerprint }) = held.key.take() {
             self.keys.remove(&key);
+            if keep {
+                let size = answer.size();
+                self.kept_bytes += size;
+                self.kept.push_back((Instant::now() + self.limits.keep, key.clone(), size));
+                self.keys.insert(key, (fingerprint, Try::Ended(answer.again())));
+                self.make_room();
+            }
         }
+        callers
     }
 
     /// The request is over.
     pub(super) fn leave(&mut self, id: &RequestId) {
-        self.answered(id);
         if let Some(held) = self.open.remove(id) {
             self.bytes -= held.size;
         }
@@ -90,4 +153,21 @@
     pub(super) fn open(&self) -> usize {
         self.open.len()
     }
+
+    /// Drops the oldest kept answers beyond what may be kept.
+    fn make_room(&mut self) {
+        while self.kept_bytes > self.limits.keep_bytes
+            && let Some((_, key, size)) = self.kept.pop_front()
+        {
+            self.keys.remove(&key);
+            self.kept_bytes -= size;
+        }
+    }
+
+    fn expire(&mut self) {
+        while let Some((_, key, size)) = self.kept.pop_front_if(|(until, ..)| *until <= Instant::now()) {
+            self.keys.remove(&key);
+            self.kept_bytes -= size;
+        }
+    }
 }
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -3,7 +3,7 @@
 use super::relay::End;
 use super::roster::Roster;
 use super::take_in::Caller;
-use super::{Answer, Engines, EventStream};
+use super::{Answer, Engines};
 use crate::interface::{Micros, RequestId, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -43,7 +43,7 @@
     }
 
     /// Answers all who wait. Only the first can have a running answer.
-    pub(super) fn answer(&self, callers: &mut Vec<Caller<E::Events>>, answer: Answer<E::Events>) {
+    pub(super) fn answer(&self, callers: Vec<Caller<E::Events>>, answer: Answer<E::Events>) {
         let mut counts = self.counts.borrow_mut();
         match &answer {
             Answer::Events(_) => {}
@@ -53,14 +53,11 @@
             Answer::Failed { .. } => counts.failed += 1,
         }
         drop(counts);
-        let mut callers = callers.drain(..);
+        let mut callers = callers.into_iter();
         let first = callers.next();
-        for caller in callers {
-            // One who has gone needs no answer.
-            let _ = caller.answer.send(again(&answer));
-        }
+        callers.for_each(|caller| caller.take(answer.again()));
         if let Some(first) = first {
-            let _ = first.answer.send(answer);
+            first.take(answer);
         }
     }
 
@@ -129,14 +126,3 @@
         );
     }
 }
-
-fn again<S: EventStream>(answer: &Answer<S>) -> Answer<S> {
-    match answer {
-        Answer::Whole(body) => Answer::Whole(body.clone()),
-        Answer::Faulty(body) => Answer::Faulty(body.clone()),
-        Answer::Refused { retry_after } => Answer::Refused { retry_after: *retry_after },
-        Answer::Failed { timed_out } => Answer::Failed { timed_out: *timed_out },
-        // A running answer has one reader.
-        Answer::Events(_) => Answer::Failed { timed_out: false },
-    }
-}
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -12,7 +12,6 @@
 use crate::interface::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -36,7 +35,12 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            limits: Limits { requests: 800, bytes: 48 << 20 },
+            limits: Limits {
+                requests: 800,
+                bytes: 48 << 20,
+                keep: Duration::from_secs(60),
+                keep_bytes: 16 << 20,
+            },
             silence: Duration::from_secs(4),
             release_patience: Duration::from_millis(100),
             release_delay: Duration::from_millis(40),
@@ -48,7 +52,6 @@
 /// What comes to the driver.
 pub(super) enum Input<E: Engines> {
     Taken(Taken<E>),
-    Joined { id: RequestId, caller: Caller<E::Events> },
     Gone { id: RequestId, caller: u64 },
     Begun { id: RequestId, attempt: u32, result: Result<Begun<E::Events>, AttemptError> },
     Ended { id: RequestId, attempt: u32, end: End },
@@ -58,7 +61,7 @@
 /// Hands requests to a running driver.
 pub struct Gateway<E: Engines> {
     inbox: mpsc::UnboundedSender<Input<E>>,
-    admission: Rc<RefCell<Admission>>,
+    admission: Rc<RefCell<Admission<E::Events>>>,
     roster: Rc<Roster>,
     roles: Rc<[Role]>,
     callers: Rc<Cell<u64>>,
@@ -77,23 +80,24 @@
 }
 
 impl<E: Engines> Gateway<E> {
-    /// Takes a request; its answer is waited for on the ticket. The fingerprint tells requests under
-    /// one idempotency key apart.
-    pub fn submit(&self, submission: Submission<E::Job>, fingerprint: u64) -> Result<Ticket<E>, Rejected> {
-        let Submission { arrival, job, size, idempotency_key } = submission;
+    /// Takes a request; its answer is waited for on the ticket.
+    pub fn submit(&self, submission: Submission<E::Job>) -> Result<Ticket<E>, Rejected> {
+        let Submission { arrival, job, size, key } = submission;
         let id = arrival.id.clone();
-        let key = idempotency_key.map(|key| (key, fingerprint));
-        let admitted = self.admission.borrow_mut().admit(&id, size, key)?;
         let (answer, ticket) = oneshot::channel();
         let number = self.callers.get();
         self.callers.set(number + 1);
-        let caller = Caller { number, answer };
-        let (id, input) = match admitted {
-            Admitted::New => (id, Input::Taken(Taken { arrival, job: Rc::new(job), caller })),
-            Admitted::Joins(id) => (id.clone(), Input::Joined { id, caller }),
+        let admitted = self.admission.borrow_mut().admit(&id, size, key, Caller { number, answer })?;
+        let waits_for = match admitted {
+            Admitted::New => {
+                let taken = Input::Taken(Taken { arrival, job: Rc::new(job) });
+                self.inbox.send(taken).map_err(|_| Rejected::Stopped)?;
+                id
+            }
+            Admitted::Joined(id) => id,
+            Admitted::Answered => id,
         };
-        self.inbox.send(input).map_err(|_| Rejected::Stopped)?;
-        Ok(Ticket::new(id, number, ticket, self.inbox.clone()))
+        Ok(Ticket::new(waits_for, number, ticket, self.inbox.clone()))
     }
 
     /// Hands the driver news of the roster.
@@ -114,13 +118,6 @@
     }
 }
 
-/// A number that requests under one idempotency key must share.
-pub fn fingerprint(parts: &[&[u8]]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    parts.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// An attempt that is out: a task until its answer begins, then a relay.
 enum Out {
     Sent(AbortHandle),
@@ -136,7 +133,8 @@
 
 struct Open<E: Engines> {
     job: Rc<E::Job>,
-    callers: Vec<Caller<E::Events>>,
+    /// Whether a run that may have begun can be repeated without harm.
+    harmless: bool,
     expires: Micros,
     attempts: Vec<Attempt>,
     /// How many attempts are out; the book looks at it before it tries a release again.
@@ -168,11 +166,13 @@
     engines: Rc<E>,
     roster: Rc<Roster>,
     roles: Rc<[Role]>,
+    /// By class, whether repeating does nothing.
+    harmless: Vec<bool>,
     max_attempts: usize,
     tuning: Tuning,
     route: Route,
     book: Book<E>,
-    admission: Rc<RefCell<Admission>>,
+    admission: Rc<RefCell<Admission<E::Events>>>,
     inbox: mpsc::UnboundedReceiver<Input<E>>,
     sender: mpsc::UnboundedSender<Input<E>>,
     open: HashMap<RequestId, Open<E>>,
@@ -192,6 +192,7 @@
     let roles: Rc<[Role]> = settings.roles.clone().into();
     let admission = Rc::new(RefCell::new(Admission::new(tuning.limits)));
     let engines = Rc::new(engines);
+    let harmless = settings.classes.iter().map(|class| class.effect == Effect::Safe).collect();
     let max_attempts = settings.max_attempts as usize;
     let mut driver = Driver {
         clock: Clock::default(),
@@ -200,6 +201,7 @@
         engines,
         roster: roster.clone(),
         roles: roles.clone(),
+        harmless,
         max_attempts,
         tuning,
         admission: admission.clone(),
@@ -246,11 +248,6 @@
     fn take(&mut self, input: Input<E>) {
         match input {
             Input::Taken(taken) => self.take_request(taken),
-            Input::Joined { id, caller } => {
-                if let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) {
-                    open.callers.push(caller);
-                }
-            }
             Input::Gone { id, caller } => self.take_gone(id, caller),
             Input::Begun { id, attempt, result } => self.take_begun(id, attempt, result),
             Input::Ended { id, attempt, end } => self.take_ended(id, attempt, &end),
@@ -261,7 +258,7 @@
     fn take_request(&mut self, taken: Taken<E>) {
         let open = Open {
             job: taken.job,
-            callers: vec![taken.caller],
+            harmless: self.harmless.get(taken.arrival.class).copied().unwrap_or(false),
             expires: self.clock.now() + taken.arrival.expires_in,
             attempts: Vec::new(),
             out: Rc::default(),
@@ -275,15 +272,12 @@
     }
 
     fn take_gone(&mut self, id: RequestId, caller: u64) {
-        let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
-        open.callers.retain(|c| c.number != caller);
-        if open.callers.is_empty() {
-            open.answered = true;
-            self.book.abandoned();
-            self.admission.borrow_mut().answered(&id);
-            self.touched.push(id.clone());
-            self.route.tell(Event::Abandoned { id });
-        }
+        let abandoned = self.admission.borrow_mut().gone(&id, caller);
+        let Some(open) = self.open.get_mut(&id).filter(|open| abandoned && !open.answered) else { return };
+        open.answered = true;
+        self.book.abandoned();
+        self.touched.push(id.clone());
+        self.route.tell(Event::Abandoned { id });
     }
 
     fn take_begun(&mut self, id: RequestId, attempt: u32, result: Result<Begun<E::Events>, AttemptError>) {
@@ -306,26 +300,20 @@
             Reply::Events(events) => {
                 was.out = Out::Relayed;
                 open.streamed = true;
-                open.answered = true;
                 let (inbox, to) = (self.sender.clone(), id.clone());
                 // A driver that has stopped needs no word of the end.
                 let report = move |end| drop(inbox.send(Input::Ended { id: to, attempt, end }));
                 let relay = Relay::new(first, events, self.tuning.silence, Box::new(report));
                 self.route.tell(Event::First { id: id.clone(), attempt });
-                self.admission.borrow_mut().answered(&id);
-                return self.book.answer(&mut open.callers, Answer::Events(relay));
+                return self.answer(id, Answer::Events(relay));
             }
             Reply::Whole(body) => {
-                open.answered = true;
                 open.streamed = true;
-                self.admission.borrow_mut().answered(&id);
-                self.book.answer(&mut open.callers, Answer::Whole(body));
+                self.answer(id.clone(), Answer::Whole(body));
                 (Status::Served, 0.0)
             }
             Reply::Faulty(body) => {
-                open.answered = true;
-                self.admission.borrow_mut().answered(&id);
-                self.book.answer(&mut open.callers, Answer::Faulty(body));
+                self.answer(id.clone(), Answer::Faulty(body));
                 (Status::Served, 0.0)
             }
             Reply::Read { cached_tokens } => (Status::Read, cached_tokens),
@@ -390,8 +378,14 @@
     fn answer(&mut self, id: RequestId, answer: Answer<E::Events>) {
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
         open.answered = true;
-        self.admission.borrow_mut().answered(&id);
-        self.book.answer(&mut open.callers, answer);
+        let keep = match &answer {
+            Answer::Whole(_) | Answer::Faulty(_) => true,
+            // What may have run with harm must not run again under its key.
+            Answer::Failed { .. } => !open.harmless,
+            Answer::Events(_) | Answer::Refused { .. } => false,
+        };
+        let callers = self.admission.borrow_mut().answered(&id, &answer, keep);
+        self.book.answer(callers, answer);
         self.touched.push(id);
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,9 +14,9 @@
 mod send;
 mod take_in;
 
-pub use admit::Limits;
+pub use admit::{Key, Limits};
 pub use clock::Clock;
-pub use driver::{Gateway, Tuning, fingerprint, start};
+pub use driver::{Gateway, Tuning, start};
 pub use relay::Relay;
 pub use roster::{Change, Changes, Gate, Listed};
 pub use take_in::{Rejected, Submission, Ticket};
@@ -164,3 +164,26 @@
         timed_out: bool,
     },
 }
+
+impl<S: EventStream> Answer<S> {
+    /// The same answer for another caller.
+    fn again(&self) -> Self {
+        match self {
+            Self::Whole(body) => Self::Whole(body.clone()),
+            Self::Faulty(body) => Self::Faulty(body.clone()),
+            Self::Refused { retry_after } => Self::Refused { retry_after: *retry_after },
+            Self::Failed { timed_out } => Self::Failed { timed_out: *timed_out },
+            // A running answer has one reader.
+            Self::Events(_) => Self::Failed { timed_out: false },
+        }
+    }
+
+    /// About how much memory it takes to keep.
+    fn size(&self) -> usize {
+        let overhead = 256;
+        match self {
+            Self::Whole(body) | Self::Faulty(body) => overhead + body.len(),
+            _ => overhead,
+        }
+    }
+}
--- a/src/gateway/take_in.rs
+++ b/src/gateway/take_in.rs
@@ -1,10 +1,9 @@
 //! First stage: a front hands a request over and gets a ticket to wait on.
 
 use super::driver::Input;
-use super::{Answer, Engines, EventStream};
+use super::{Answer, Engines, EventStream, Key};
 use crate::interface::{Arrival, RequestId};
 use std::rc::Rc;
-use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
 /// A request as a front hands it over.
@@ -15,8 +14,8 @@
     pub job: J,
     /// Bytes that it holds while it is open.
     pub size: usize,
-    /// A key under which its client repeats it; a repeat joins the first try while that one runs.
-    pub idempotency_key: Option<Arc<str>>,
+    /// The key under which its client repeats it, if it does.
+    pub key: Option<Key>,
 }
 
 /// Why a request was not taken.
@@ -73,9 +72,15 @@
     pub(super) answer: oneshot::Sender<Answer<S>>,
 }
 
+impl<S: EventStream> Caller<S> {
+    /// Gives the answer; one who has gone needs none.
+    pub(super) fn take(self, answer: Answer<S>) {
+        drop(self.answer.send(answer));
+    }
+}
+
 /// A request on its way to the driver.
 pub(super) struct Taken<E: Engines> {
     pub(super) arrival: Arrival,
     pub(super) job: Rc<E::Job>,
-    pub(super) caller: Caller<E::Events>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 
 pub mod choice;
 pub mod config;
+pub mod daemon;
 pub mod front;
 pub mod gateway;
 pub mod interface;
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -22,8 +22,13 @@
 pub enum Manner {
     /// First read, then answered as a stream of events.
     Staged,
-    /// Answered in one piece.
-    Single,
+    /// Answered in one piece, whose list of that name holds so many entries.
+    Single {
+        /// The list's name.
+        list: &'static str,
+        /// Its entries; an answer with fewer is one in part.
+        entries: usize,
+    },
 }
 
 /// A request as engines are sent it.
@@ -104,8 +109,13 @@
             let cached_tokens = told.get("cached_tokens").and_then(serde_json::Value::as_f64);
             Reply::Read { cached_tokens: cached_tokens.unwrap_or(0.0).max(0.0) }
         }
-        (Manner::Single, StatusCode::OK) => Reply::Whole(body),
-        (Manner::Single, status) if is_fault(status) => Reply::Faulty(body),
+        (Manner::Single { list, entries }, StatusCode::OK) => {
+            // A body without a length ends where its connection does: only its content shows it whole.
+            let told: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+            let whole = told.get(list).and_then(|list| list.as_array()).is_some_and(|l| l.len() == entries);
+            if whole { Reply::Whole(body) } else { Reply::Error }
+        }
+        (Manner::Single { .. }, status) if is_fault(status) => Reply::Faulty(body),
         _ => Reply::Error,
     }
 }
--- /dev/null
+++ b/tests/loopback/mod.rs
@@ -0,0 +1,303 @@
+//! Stand-ins on loopback: engines of each kind, discovery, and a client; and the daemon between them.
+#![allow(dead_code)] // each test file uses its own part
+
+use meadowlug::config::{Config, Inference};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+pub const EVENTS: [&str; 3] = ["data: {\"a\":1}\n\n", "data: {\"b\":2}\n\n", "data: [DONE]\n\n"];
+
+/// What an engine does with a request once it has all of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    Well,
+    /// Well, after a while.
+    Slow(u64),
+    /// Says nothing, like a machine that has vanished.
+    Silent,
+    /// Breaks the connection in the middle of its answer.
+    Cut,
+    /// Turns the request away with proof that it never ran.
+    Declines,
+    /// Answers, then closes the connection.
+    Closes,
+}
+
+/// A request as it was seen.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub at: Instant,
+    pub method: String,
+    pub path: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// Reads one message off a connection: its first line's words, its headers and its body.
+async fn message(stream: &mut TcpStream) -> Option<Seen> {
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\n") {
+        text.push(stream.read_u8().await.ok()?);
+    }
+    let text = String::from_utf8(text).expect("a head of text");
+    let mut lines = text.split("\r\n");
+    let first = lines.next()?;
+    let mut words = first.split(' ').map(str::to_owned);
+    let pair = |line: &str| line.split_once(": ").map(|(n, v)| (n.to_ascii_lowercase(), v.to_owned()));
+    let headers: BTreeMap<_, _> = lines.filter_map(pair).collect();
+    let length = headers.get("content-length").map_or(0, |l| l.parse().expect("a length"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(Seen { at: Instant::now(), method: words.next()?, path: words.next()?, headers, body })
+}
+
+/// An engine; what it is depends on the calls it gets.
+pub struct Engine {
+    pub uid: &'static str,
+    pub model: &'static str,
+    pub address: SocketAddr,
+    pub mode: Rc<Cell<Mode>>,
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+}
+
+impl Engine {
+    pub async fn start(uid: &'static str, model: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (mode, seen) = (Rc::new(Cell::new(Mode::Well)), Rc::<RefCell<Vec<Seen>>>::default());
+        let engine = Self { uid, model, address, mode: mode.clone(), seen: seen.clone() };
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(engine_connection(stream, model, mode.clone(), seen.clone()));
+            }
+        });
+        engine
+    }
+
+    /// How many requests it got on a path that begins so.
+    pub fn count(&self, path: &str) -> usize {
+        self.seen.borrow().iter().filter(|s| s.path.starts_with(path)).count()
+    }
+
+    pub fn target(&self, state: &str) -> Value {
+        json!({"uid": self.uid, "endpoint": self.address.to_string(), "az": "a", "model": self.model,
+            "pod_group": 0, "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+    }
+}
+
+async fn engine_connection(
+    mut stream: TcpStream,
+    model: &'static str,
+    mode: Rc<Cell<Mode>>,
+    seen: Rc<RefCell<Vec<Seen>>>,
+) {
+    while let Some(request) = message(&mut stream).await {
+        seen.borrow_mut().push(request.clone());
+        let mode = mode.get();
+        if let Mode::Slow(ms) = mode {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+        }
+        let answer = match mode {
+            Mode::Silent => return std::future::pending().await,
+            Mode::Declines => "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            _ => engine_answer(model, &request),
+        };
+        let cut = mode == Mode::Cut && request.method == "POST";
+        let part = if cut { &answer[..answer.len() - 12] } else { &answer };
+        let written = stream.write_all(part.as_bytes()).await;
+        if cut || mode == Mode::Closes || written.is_err() {
+            return;
+        }
+    }
+}
+
+fn engine_answer(model: &str, request: &Seen) -> String {
+    let whole = |status: &str, body: String| {
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let call: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let entries = |list: &str| call[list].as_array().map_or(1, Vec::len);
+    match (request.method.as_str(), model) {
+        ("DELETE", _) => "HTTP/1.1 204 No Content\r\n\r\n".to_owned(),
+        (_, "reader") => whole("202 Accepted", "{\"cached_tokens\":0}".into()),
+        (_, "writer") => {
+            let chunks: String = EVENTS.iter().map(|e| format!("{:x}\r\n{e}\r\n", e.len())).collect();
+            format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n"
+            )
+        }
+        (_, "embedder") => {
+            let data: Vec<_> =
+                (0..entries("input")).map(|i| json!({"index": i, "embedding": [0.5]})).collect();
+            whole("200 OK", json!({"object": "list", "data": data}).to_string())
+        }
+        _ => {
+            let results: Vec<_> = (0..entries("documents")).map(|i| json!({"index": i})).collect();
+            whole("200 OK", json!({"results": results}).to_string())
+        }
+    }
+}
+
+/// Discovery: a list, its version, and those who wait for the next.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    list: Rc<RefCell<(u64, Vec<Value>)>>,
+    news: Rc<Notify>,
+}
+
+impl Discovery {
+    pub async fn start(engines: &[&Engine]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let targets = engines.iter().map(|e| e.target("SERVING")).collect();
+        let discovery = Self { address, list: Rc::new(RefCell::new((1, targets))), news: Rc::default() };
+        let serving = discovery.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(serving.clone().connection(stream));
+            }
+        });
+        discovery
+    }
+
+    /// Lists an engine in another state; gives the time from which that was told.
+    pub fn set(&self, engine: &Engine, state: &str) -> Instant {
+        let (rev, targets) = &mut *self.list.borrow_mut();
+        *rev += 1;
+        for target in targets.iter_mut().filter(|t| t["uid"] == engine.uid) {
+            *target = engine.target(state);
+        }
+        self.news.notify_waiters();
+        Instant::now()
+    }
+
+    async fn connection(self, mut stream: TcpStream) {
+        while let Some(request) = message(&mut stream).await {
+            let index = request.path.split_once("index=").and_then(|(_, rest)| rest.split('&').next());
+            let index: u64 = index.map_or(0, |i| i.parse().expect("a version"));
+            while self.list.borrow().0 <= index {
+                self.news.notified().await;
+            }
+            let (rev, targets) = self.list.borrow().clone();
+            let body = json!({"rev": rev, "all": true, "targets": targets}).to_string();
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A client's answer; `whole` tells whether its framing came to its end.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).expect("a body of JSON")
+    }
+}
+
+/// Sends one request on a connection of its own and reads its answer.
+pub async fn ask(to: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    let mut stream = TcpStream::connect(to).await.expect("the daemon listens");
+    let mut text = format!("{method} {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n");
+    headers.iter().for_each(|(name, value)| text += &format!("{name}: {value}\r\n"));
+    text += &format!("Content-Length: {}\r\n\r\n{body}", body.len());
+    // A body that is refused early may not be read to its end.
+    let _ = stream.write_all(text.as_bytes()).await;
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    let text = String::from_utf8(bytes).expect("text");
+    let (head, rest) = text.split_once("\r\n\r\n").expect("a head");
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    let (mut body, mut whole) = (rest.to_owned(), true);
+    if head.to_ascii_lowercase().contains("transfer-encoding: chunked") {
+        whole = rest.ends_with("0\r\n\r\n");
+        body = rest.split("\r\n").filter(|l| l.starts_with("data") || l.is_empty()).collect();
+    }
+    Answer { status, head: head.to_ascii_lowercase(), body, whole }
+}
+
+/// A chat request of a class with so many milliseconds.
+pub async fn chat(to: SocketAddr, id: &str, class: &str, deadline_ms: u64) -> Answer {
+    let deadline = format!("{deadline_ms}m");
+    let headers = [
+        ("Req-Id", id),
+        ("Req-Kind", class),
+        ("Req-Owner", "desk"),
+        ("Req-Deadline", deadline.as_str()),
+        ("Req-Extra", "prompt_len=100,max_out=20"),
+    ];
+    ask(to, "POST", "/v1/chat/completions", &headers, CHAT).await
+}
+
+pub const CHAT: &str = r#"{"model":"chat","stream":true,"messages":[{"role":"user","content":"hi"}]}"#;
+
+/// A running daemon.
+pub struct Daemon {
+    pub address: SocketAddr,
+    pub stop: Rc<Notify>,
+    pub ended: tokio::task::JoinHandle<()>,
+}
+
+impl Daemon {
+    pub async fn start(discovery: &Discovery, inference: Option<Value>) -> Self {
+        let class = |name: &str, effect: &str| json!({"name": name, "objectiveMs": 4000, "hardLimitMs": 20000, "effect": effect});
+        let config = json!({
+            "name": "n0", "listen": "", "discovery": discovery.address.to_string(), "seed": "5",
+            "settings": {
+                "zones": ["a"], "kinds": ["reader", "writer"],
+                "categories": [class("lookup", "safe"), class("correction", "unsafe")],
+                "projects": [{"name": "desk", "quotaPerS": 100000.0}],
+                "extra": {"roleByKind": ["read", "write"], "tokensByKind": [200000, 200000], "letGoByMs": 300},
+                "permissions": {"cancelling": true},
+            },
+        });
+        let config = Config::decode(config.to_string().as_bytes()).expect("a lawful configuration");
+        let inference =
+            inference.map(|file| Inference::decode(file.to_string().as_bytes()).expect("a lawful file"));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let stop = Rc::new(Notify::new());
+        let asked = stop.clone();
+        let ended = spawn_local(async move {
+            let stop = async move {
+                asked.notified().await;
+                Ok(())
+            };
+            meadowlug::daemon::run(config, inference, listener, stop).await.expect("a clean end");
+        });
+        until("ready", async || ask(address, "GET", "/ready", &[], "").await.status == 200).await;
+        Self { address, stop, ended }
+    }
+}
+
+/// Waits until something is so, for as long as a slow machine may need.
+pub async fn until(what: &str, mut so: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !so().await {
+        assert!(start.elapsed() < Duration::from_secs(20), "never {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Runs a test's tasks on this thread.
+pub async fn local(test: impl Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(test).await;
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -154,3 +154,26 @@
     };
     assert_eq!(run(), run());
 }
+
+// One-stage requests (a pool of mixed servers) once all went to the first server by id, three at a time.
+#[test]
+fn one_stage_requests_spread_over_mixed_servers_and_wait_at_the_cap() {
+    let mut h = Harness::new(settings(), &[21, 22]);
+    let sent: Vec<u32> =
+        (0..9).flat_map(|n| sends(&h.ask(arrival(&n.to_string())), &n.to_string())).collect();
+    for server in [21, 22] {
+        assert_eq!(sent.iter().filter(|s| **s == server).count(), 4, "{sent:?}");
+    }
+    assert_eq!(all_sends(&h.ended("0", 0, Status::Served)), [("8".to_string(), sent[0])]);
+}
+
+// Before there are answers nothing tells how long one takes: calling it off early would repeat it at every
+// server in turn and never learn.
+#[test]
+fn first_one_stage_requests_have_the_time_of_their_aim() {
+    let slow = Class { aim: 2_000_000, deadline: 30_000_000, ..Class::default() };
+    let mut h = Harness::new(Settings { classes: vec![slow], ..settings() }, &[21, 22]);
+    h.ask(Arrival { expires_in: 30_000_000, ..arrival("a") });
+    assert!(h.wait(7_500_000).iter().all(|a| !matches!(a, Action::Cancel { .. })));
+    assert!(h.wait(1_000_000).iter().any(|a| matches!(a, Action::Cancel { .. })));
+}
