--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -60,7 +60,7 @@
 }
 
 impl Numbers {
-    fn of(&mut self, uid: &str) -> ServerId {
+    pub(super) fn of(&mut self, uid: &str) -> ServerId {
         let hash = |h: u32, byte: u8| (h ^ u32::from(byte)).wrapping_mul(0x0100_0193);
         let mut number = uid.bytes().fold(0x811c_9dc5, hash);
         while self.taken.get(&number).is_some_and(|other| other != uid) {
@@ -80,7 +80,7 @@
             _ => Condition::Draining,
         };
         let Some(kind) = place(&names.kinds, &self.model) else {
-            log::warn!("roster entry skipped uid={} unknown model={}", self.uid, self.model);
+            log::debug!("roster entry skipped uid={} unknown model={}", self.uid, self.model);
             return None;
         };
         let entry = Entry {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -301,3 +301,50 @@
         other => Err(wrong(format!("categories.effect: no effect {other}"))),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const FILE: &str = r#"{"listen":"l","discovery":"d","seed":"8c1f30d27a5be964","known":{"rev":4,"all":true,"targets":
+        [{"uid":"s-1","endpoint":"e:1","az":"b","model":"decode","pod_group":3,"state":"DRAINING","boot_ms":2}]},
+        "settings":{"replicasOfMe":3,"zones":["a","b"],"kinds":["prefill","decode"],"resolutionMs":4.0,"new":1,
+        "categories":[{"name":"c","objectiveMs":1500.0,"hardLimitMs":7500.0,"effect":"unsafe"}],
+        "projects":[{"name":"p","quotaPerS":15.0}],"rules":{"coldFrom":0.25},"report":{"fields":["active","x0"]},
+        "extra":{"roleByKind":["read","write"],"tokenAimMs":[70],"reportX0":"share_of_memory_that_is_held"}}}"#;
+
+    #[test]
+    fn platform_file_is_read() {
+        let config = Config::decode(FILE.as_bytes()).expect("lawful");
+        let settings = &config.settings;
+        assert_eq!((settings.replicas, settings.cold_from, config.seed), (3, 0.25, 0x8c1f_30d2_7a5b_e964));
+        assert_eq!((settings.classes[0].aim, settings.classes[0].token_aim), (1_500_000, 70_000));
+        assert_eq!(config.load.read(br#"{"active":7,"x0":0.5}"#).memory_share, Some(0.5));
+        let change = config.known.expect("known").change(&config.names, &mut Numbers::default());
+        let entry = &change.engines[0].entry;
+        assert_eq!((entry.zone, entry.cell, entry.kind, entry.started_at), (1, 3, 1, 2_000));
+        assert_eq!(entry.condition, crate::interface::Condition::Draining);
+    }
+
+    // What the module would misread is refused at the start.
+    #[rstest]
+    #[case("unsafe", "harmless")]
+    #[case(r#""read","write""#, r#""read""#)]
+    #[case(r#""read","write""#, r#""read","think""#)]
+    #[case("categories", "classes")]
+    #[case("{", "")]
+    fn file_that_makes_no_sense_is_refused(#[case] from: &str, #[case] to: &str) {
+        assert!(Config::decode(FILE.replacen(from, to, 1).as_bytes()).is_err());
+    }
+
+    // Routers agree without a word only if an engine has one number at all of them.
+    #[test]
+    fn engine_has_its_number_whatever_came_before_it() {
+        let numbers = |uids: &[&str]| {
+            let mut known = Numbers::default();
+            uids.iter().map(|uid| known.of(uid)).collect::<Vec<_>>()
+        };
+        assert_eq!(numbers(&["s-1", "s-2"])[1], numbers(&["s-2"])[0]);
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Puts the parts together and serves until it is stopped.
 
 use crate::config::{self, Config};
-use crate::front::{Fronts, Inference, Model, Platform};
+use crate::front::{Bodies, Fronts, Inference, Model, Platform};
 use crate::gateway::{self, Changes, Gateway, Tuning};
 use crate::interface::Settings;
 use crate::net::{self, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
@@ -41,12 +41,13 @@
 impl Drivers {
     fn start(
         &self,
+        name: &str,
         settings: Settings,
         tuning: Tuning,
         engines: HttpEngines,
         roster: Watch,
     ) -> Result<Gateway<HttpEngines>, Box<dyn Error>> {
-        let (gateway, driver) = gateway::start(settings, self.seed, engines, tuning)?;
+        let (gateway, driver) = gateway::start(name, settings, self.seed, engines, tuning)?;
         tokio::task::spawn_local(follow(roster, gateway.clone()));
         let ended = self.ended.clone();
         tokio::task::spawn_local(async move {
@@ -65,7 +66,7 @@
             let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false);
             let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
             let roster = Watch::new(&pool.discovery, names, pool.known.clone());
-            let gateway = self.start(file.settings(pool), tuning, engines, roster)?;
+            let gateway = self.start(&pool.model, file.settings(pool), tuning, engines, roster)?;
             models.push(Model {
                 name: pool.model.clone(),
                 api: pool.api,
@@ -96,7 +97,7 @@
     let engines = HttpEngines::new(pool.clone(), config.load.clone(), true);
     let roster = Watch::new(&config.discovery, config.names.clone(), config.known);
     let classes = config.settings.classes.clone();
-    let chat = drivers.start(config.settings, Tuning::default(), engines, roster)?;
+    let chat = drivers.start("chat", config.settings, Tuning::default(), engines, roster)?;
     let models = inference.as_ref().map(|file| drivers.models(file)).transpose()?;
     let stamp = gateway::Clock::default().now() ^ config.seed.rotate_left(32);
     tokio::task::spawn_local(async move {
@@ -106,9 +107,10 @@
         }
     });
     let (phase, phases) = watch::channel(Phase::Serving);
+    let bodies = Rc::<Bodies>::default();
     let fronts = Fronts {
-        platform: Platform::new(chat.clone(), config.names, classes),
-        inference: models.map(|models| Inference::new(models, stamp)),
+        platform: Platform::new(chat.clone(), config.names, classes, bodies.clone()),
+        inference: models.map(|models| Inference::new(models, bodies, stamp)),
         phase: phases.clone(),
     };
     log::info!("serving name={} listen={}", config.name, listener.local_addr()?);
--- a/src/front/inference.rs
+++ b/src/front/inference.rs
@@ -1,6 +1,6 @@
 //! Embeddings and rerank in their usual shapes, on the same core as chat: one driver for each model.
 
-use super::platform::{header, read_body, rejection, respond, span};
+use super::platform::{Bodies, header, read_body, rejection, respond, span};
 use super::reply;
 use crate::config::Api;
 use crate::gateway::{Answer, Gateway, Key, Submission};
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,7 @@
 /// The front for embeddings and rerank.
 pub struct Inference {
     models: Vec<Model>,
+    bodies: Rc<Bodies>,
     /// Sets this process's request ids apart from others'.
     stamp: u64,
     calls: Cell<u64>,
@@ -142,8 +144,8 @@
 
 impl Inference {
     /// A front of these models; the stamp sets its request ids apart from other processes'.
-    pub fn new(models: Vec<Model>, stamp: u64) -> Self {
-        Self { models, stamp, calls: Cell::new(0) }
+    pub fn new(models: Vec<Model>, bodies: Rc<Bodies>, stamp: u64) -> Self {
+        Self { models, bodies, stamp, calls: Cell::new(0) }
     }
 
     /// Which call a path is.
@@ -155,16 +157,12 @@
         }
     }
 
-    pub(super) fn can_serve(&self) -> bool {
-        self.models.iter().all(|model| model.gateway.can_serve())
-    }
-
     /// Answers a call.
     pub(super) async fn call(&self, api: Api, request: Request<Incoming>) -> Response<FrontBody> {
         let came = Instant::now();
         let path = request.uri().path_and_query().map_or_else(String::new, ToString::to_string);
         let (head, body) = request.into_parts();
-        let body = match read_body(body).await {
+        let body = match read_body(&self.bodies, body).await {
             Ok(body) => body,
             Err(response) => return response,
         };
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,7 +5,7 @@
 mod reply;
 
 pub use inference::{Inference, Model};
-pub use platform::Platform;
+pub use platform::{Bodies, Platform};
 
 use crate::gateway::Rejected;
 use crate::net::{Front, FrontBody, Phase};
@@ -27,9 +27,8 @@
 
 impl Fronts {
     fn ready(&self) -> Response<FrontBody> {
-        let serving = *self.phase.borrow() == Phase::Serving;
-        let inference = self.inference.as_ref().is_none_or(Inference::can_serve);
-        if serving && self.platform.can_serve() && inference {
+        // Chat alone decides: a model of the other front that is down is no reason to turn chat away.
+        if *self.phase.borrow() == Phase::Serving && self.platform.can_serve() {
             reply::json(StatusCode::OK, Bytes::from_static(b"{\"ready\":true}"))
         } else {
             reply::error(StatusCode::SERVICE_UNAVAILABLE, "not ready to serve")
@@ -54,7 +53,7 @@
             return response;
         }
         match inference {
-            Some((front, api)) => front.call(api, request).await,
+            Some((front, api)) => reply::whole_seconds(front.call(api, request).await),
             None if wanted == Method::GET => self.ready(),
             None => self.platform.chat(request).await,
         }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -7,14 +7,18 @@
 use crate::net::{FrontBody, HttpEngines, Job, Manner};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
 
 /// Most bytes of a body.
 pub(super) const BODY_BYTES: usize = 256 << 10;
+/// Most bytes of all bodies that are being read.
+const READING_BYTES: usize = 24 << 20;
 /// How long a body may take to come in.
 pub(super) const BODY_PATIENCE: Duration = Duration::from_secs(10);
 /// Characters of a token.
@@ -27,12 +31,13 @@
     gateway: Gateway<HttpEngines>,
     names: Names,
     classes: Vec<Class>,
+    bodies: Rc<Bodies>,
 }
 
 impl Platform {
     /// A front of the gateway; the classes give the deadline of a request that tells none.
-    pub fn new(gateway: Gateway<HttpEngines>, names: Names, classes: Vec<Class>) -> Self {
-        Self { gateway, names, classes }
+    pub fn new(gateway: Gateway<HttpEngines>, names: Names, classes: Vec<Class>, bodies: Rc<Bodies>) -> Self {
+        Self { gateway, names, classes, bodies }
     }
 
     pub(super) fn can_serve(&self) -> bool {
@@ -44,7 +49,7 @@
         let came = Instant::now();
         let path = request.uri().path_and_query().map_or_else(String::new, ToString::to_string);
         let (head, body) = request.into_parts();
-        let body = match read_body(body).await {
+        let body = match read_body(&self.bodies, body).await {
             Ok(body) => body,
             Err(response) => return response,
         };
@@ -66,8 +71,21 @@
     }
 }
 
+/// Bounds the bytes of all bodies that are being read: many at once could hold more than there is.
+pub struct Bodies(Semaphore);
+
+impl Default for Bodies {
+    fn default() -> Self {
+        Self(Semaphore::new(READING_BYTES))
+    }
+}
+
 /// Reads a request's body within its bounds of size and time.
-pub(super) async fn read_body(body: Incoming) -> Result<Bytes, Response<FrontBody>> {
+pub(super) async fn read_body(bodies: &Bodies, body: Incoming) -> Result<Bytes, Response<FrontBody>> {
+    let most = body.size_hint().upper().unwrap_or(BODY_BYTES as u64).min(BODY_BYTES as u64);
+    let Ok(_room) = bodies.0.try_acquire_many(most as u32) else {
+        return Err(rejection(Rejected::Busy));
+    };
     match tokio::time::timeout(BODY_PATIENCE, Limited::new(body, BODY_BYTES).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
@@ -193,3 +211,80 @@
     }
     Ok(arrival)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case("4800m", Some(4_800_000))]
+    #[case("250u", Some(250))]
+    #[case("1.5m", Some(1_500))]
+    #[case("0m", Some(0))]
+    #[case("-1m", None)]
+    #[case("nanm", None)]
+    #[case("infm", None)]
+    #[case("48", None)]
+    #[case("m", None)]
+    #[case("", None)]
+    #[case("5é", None)]
+    fn span_has_a_number_and_a_unit(#[case] text: &str, #[case] expected: Option<Micros>) {
+        assert_eq!(span(text), expected);
+    }
+
+    // The id becomes part of a path at an engine: nothing in it may change that path.
+    #[rstest]
+    #[case("9b1f03aa5c7e2d41", true)]
+    #[case("5d3a91c4-338c-4494", true)]
+    #[case("", false)]
+    #[case("a/b", false)]
+    #[case("a?b", false)]
+    #[case("a b", false)]
+    #[case("%2e", false)]
+    fn id_is_plain(#[case] text: &str, #[case] good: bool) {
+        assert_eq!(request_id(text).is_some(), good);
+    }
+
+    fn told(extra: &[(&'static str, &'static str)]) -> Result<Arrival, String> {
+        let plain = [("req-id", "a"), ("req-kind", "lookup"), ("req-owner", "desk")];
+        let mut headers = HeaderMap::new();
+        for (name, value) in plain.iter().chain(extra) {
+            headers.insert(*name, HeaderValue::from_static(value));
+        }
+        let names = Names {
+            classes: vec!["chat".into(), "lookup".into()],
+            tenants: vec!["desk".into()],
+            ..Names::default()
+        };
+        arrival(&headers, &names, &[Class::default(), Class { deadline: 7, ..Class::default() }], 400)
+    }
+
+    #[test]
+    fn headers_tell_what_the_module_needs() {
+        let extra = "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800,new=1";
+        let all = [("req-key", "s"), ("req-deadline", "4800m"), ("req-cost", "900"), ("req-extra", extra)];
+        let arrival = told(&all).expect("lawful");
+        assert_eq!((arrival.class, arrival.tenant, arrival.expires_in), (1, 0, 4_800_000));
+        assert_eq!((arrival.session.as_deref(), arrival.prefix.as_deref()), (Some("s"), Some("5c0f")));
+        assert_eq!((arrival.prompt_tokens, arrival.prefix_tokens), (5120.0, 2048.0));
+        assert_eq!((arrival.max_output_tokens, arrival.hint), (800.0, Some(900)));
+        let bare = told(&[]).expect("lawful");
+        assert_eq!(
+            (bare.expires_in, bare.prompt_tokens),
+            (7, 100.0),
+            "the class's deadline, the body's length"
+        );
+    }
+
+    #[rstest]
+    #[case(("req-kind", "poem"))]
+    #[case(("req-owner", "nobody"))]
+    #[case(("req-deadline", "soon"))]
+    #[case(("req-extra", "prompt_len"))]
+    #[case(("req-extra", "prompt_len=many"))]
+    #[case(("req-extra", "max_out=NaN"))]
+    fn header_that_makes_no_sense_is_refused(#[case] header: (&'static str, &'static str)) {
+        assert!(told(&[header]).is_err());
+    }
+}
--- a/src/front/reply.rs
+++ b/src/front/reply.rs
@@ -37,3 +37,12 @@
     }
     response
 }
+
+/// The same response with its time to come back in whole seconds, as clients of a usual API expect.
+pub(super) fn whole_seconds(mut response: Response<FrontBody>) -> Response<FrontBody> {
+    if let Some(value) = response.headers_mut().get_mut(RETRY_AFTER) {
+        let seconds = value.to_str().ok().and_then(|text| text.parse::<f64>().ok()).unwrap_or(1.0);
+        *value = HeaderValue::from(seconds.ceil() as u64);
+    }
+    response
+}
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -26,6 +26,8 @@
 pub(super) struct Book<E: Engines> {
     engines: Rc<E>,
     roster: Rc<Roster>,
+    /// The driver's name in the log.
+    name: Rc<str>,
     /// How long one engine may take to accept a release before another is asked.
     patience: Duration,
     /// When each engine last answered: a release goes first to the one surest to run.
@@ -34,8 +36,8 @@
 }
 
 impl<E: Engines> Book<E> {
-    pub(super) fn new(engines: Rc<E>, roster: Rc<Roster>, patience: Duration) -> Self {
-        Self { engines, roster, patience, heard: Rc::default(), counts: Rc::default() }
+    pub(super) fn new(name: &str, engines: Rc<E>, roster: Rc<Roster>, patience: Duration) -> Self {
+        Self { name: name.into(), engines, roster, patience, heard: Rc::default(), counts: Rc::default() }
     }
 
     pub(super) fn hear(&self, server: ServerId, now: Micros) {
@@ -115,7 +117,8 @@
     pub(super) fn report(&self, open: usize) {
         let c = std::mem::take(&mut *self.counts.borrow_mut());
         log::info!(
-            "counts open={open} served={} refused={} failed={} faulty={} abandoned={} broken={} unreleased={}",
+            "counts driver={} open={open} served={} refused={} failed={} faulty={} abandoned={} broken={} unreleased={}",
+            self.name,
             c.served,
             c.refused,
             c.failed,
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -37,9 +37,9 @@
         Self {
             limits: Limits {
                 requests: 800,
-                bytes: 48 << 20,
+                bytes: 32 << 20,
                 keep: Duration::from_secs(60),
-                keep_bytes: 16 << 20,
+                keep_bytes: 8 << 20,
             },
             silence: Duration::from_secs(4),
             release_patience: Duration::from_millis(100),
@@ -180,8 +180,9 @@
     touched: Vec<RequestId>,
 }
 
-/// Starts a driver on this thread's local set. The task ends only by a panic or by being aborted.
+/// Starts a driver on this thread's local set; the log knows it by its name. The task ends only by a panic or by being aborted.
 pub fn start<E: Engines>(
+    name: &str,
     settings: Settings,
     seed: u64,
     engines: E,
@@ -197,7 +198,7 @@
     let mut driver = Driver {
         clock: Clock::default(),
         route: Route::new(Router::new(settings, seed)?),
-        book: Book::new(engines.clone(), roster.clone(), tuning.release_patience),
+        book: Book::new(name, engines.clone(), roster.clone(), tuning.release_patience),
         engines,
         roster: roster.clone(),
         roles: roles.clone(),
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -15,7 +15,7 @@
 use std::task::{Context, Poll};
 
 /// Most bytes of an answer that is read whole.
-const ANSWER_BYTES: usize = 8 << 20;
+const ANSWER_BYTES: usize = 4 << 20;
 
 /// How a request is worked on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -26,10 +26,14 @@
     Silent,
     /// Breaks the connection in the middle of its answer.
     Cut,
+    /// Does so once, and is well from then on.
+    CutOnce,
     /// Turns the request away with proof that it never ran.
     Declines,
     /// Answers, then closes the connection.
     Closes,
+    /// Answers with a list that lacks entries.
+    Short,
 }
 
 /// A request as it was seen.
@@ -102,16 +106,24 @@
 ) {
     while let Some(request) = message(&mut stream).await {
         seen.borrow_mut().push(request.clone());
-        let mode = mode.get();
+        let at = mode.get();
+        if at == Mode::CutOnce {
+            mode.set(Mode::Well);
+        }
+        let mode = at;
         if let Mode::Slow(ms) = mode {
             tokio::time::sleep(Duration::from_millis(ms)).await;
         }
         let answer = match mode {
             Mode::Silent => return std::future::pending().await,
             Mode::Declines => "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            Mode::Short => {
+                let body = "{\"results\":[{\"index\":0}]}";
+                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+            }
             _ => engine_answer(model, &request),
         };
-        let cut = mode == Mode::Cut && request.method == "POST";
+        let cut = matches!(mode, Mode::Cut | Mode::CutOnce) && request.method == "POST";
         let part = if cut { &answer[..answer.len() - 12] } else { &answer };
         let written = stream.write_all(part.as_bytes()).await;
         if cut || mode == Mode::Closes || written.is_err() {
@@ -181,6 +193,14 @@
         Instant::now()
     }
 
+    /// Lists one more engine.
+    pub fn add(&self, engine: &Engine) {
+        let (rev, targets) = &mut *self.list.borrow_mut();
+        *rev += 1;
+        targets.push(engine.target("SERVING"));
+        self.news.notify_waiters();
+    }
+
     async fn connection(self, mut stream: TcpStream) {
         while let Some(request) = message(&mut stream).await {
             let index = request.path.split_once("index=").and_then(|(_, rest)| rest.split('&').next());
