Keep a release from overtaking the read that follows it

Ruled out: writers full (all were 410), lost reads (few), CPU. Fault: Driver::release sent DELETE /state/ID as soon as the module let go, on a connection of its own; the module sends the next read in the same turn, so the call arrived within that read and took its state. Now releases go out at the end of the turn, and not where the request is out again or where no attempt can have reached an engine. The test fails without it.

--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -142,6 +142,8 @@
     answered: bool,
     /// Whether an answer has begun: engines let go of the rest by themselves.
     streamed: bool,
+    /// Whether an attempt may have come to an engine: before that nothing is held.
+    reached: bool,
     /// Whether a read broke, whose state may turn up just after.
     broken_read: bool,
     /// Whether a release is already about to go out.
@@ -176,6 +178,8 @@
     inbox: mpsc::UnboundedReceiver<Input<E>>,
     sender: mpsc::UnboundedSender<Input<E>>,
     open: HashMap<RequestId, Open<E>>,
+    /// Requests of which something is to be let go at the end of this turn.
+    releases: Vec<RequestId>,
     /// Requests that may be over after this turn.
     touched: Vec<RequestId>,
 }
@@ -209,6 +213,7 @@
         inbox,
         sender: sender.clone(),
         open: HashMap::new(),
+        releases: Vec::new(),
         touched: Vec::new(),
     };
     let gateway = Gateway { inbox: sender, admission, roster, roles, callers: Rc::default() };
@@ -240,6 +245,9 @@
                     break;
                 }
             }
+            for id in std::mem::take(&mut self.releases) {
+                self.release(id);
+            }
             self.close();
         }
     }
@@ -265,6 +273,7 @@
             out: Rc::default(),
             answered: false,
             streamed: false,
+            reached: false,
             broken_read: false,
             release_waits: Rc::default(),
         };
@@ -292,7 +301,8 @@
             Ok(begun) => begun,
             Err(error) => {
                 log::info!("attempt lost request={} n={attempt} server={:08x} {error}", id.0, server.0);
-                open.broken_read |= reading && send::status_of(&error) != Status::Moot;
+                let unsent = matches!(send::status_of(&error), Status::Moot | Status::NoConnection);
+                open.broken_read |= reading && !unsent;
                 return self.attempt_over(id, attempt, send::status_of(&error), 0.0, Load::default());
             }
         };
@@ -322,7 +332,12 @@
             Reply::Error => (Status::Error, 0.0),
         };
         if !matches!(status, Status::Read | Status::Served) {
-            log::info!("attempt turned away request={} n={attempt} server={:08x} {status:?}", id.0, server.0);
+            let why = if note > 0.0 { " no state" } else { "" };
+            log::info!(
+                "attempt turned away request={} n={attempt} server={:08x} {status:?}{why}",
+                id.0,
+                server.0
+            );
         }
         self.attempt_over(id, attempt, status, note, load);
     }
@@ -342,7 +357,9 @@
 
     fn attempt_over(&mut self, id: RequestId, attempt: u32, status: Status, note: f64, load: Load) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        if open.over(attempt).is_some() {
+        if let Some(server) = open.over(attempt) {
+            log::debug!("outcome request={} n={attempt} server={:08x} {status:?}", id.0, server.0);
+            open.reached |= !matches!(status, Status::NoConnection | Status::Moot | Status::Full);
             let finished = open.answered;
             self.touched.push(id.clone());
             self.route.tell(Event::Outcome(Outcome { id, attempt, status, finished, note, load }));
@@ -363,7 +380,7 @@
         match action {
             Action::Send { id, server } => self.send(id, server),
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
-            Action::Release { id } => self.release(id),
+            Action::Release { id } => self.releases.push(id),
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused { retry_after }),
             Action::Fail { id } => {
                 let late = |open: &Open<E>| open.expires <= now + 100_000;
@@ -393,6 +410,7 @@
     fn send(&mut self, id: RequestId, server: ServerId) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len() as u32;
+        log::debug!("send request={} n={attempt} server={:08x}", id.0, server.0);
         let listed = self.roster.entry(server);
         let reading = listed.as_ref().is_some_and(|l| self.roles.get(l.entry.kind) == Some(&Role::Read));
         open.attempts.push(Attempt { server, reading, out: Out::Over });
@@ -428,13 +446,20 @@
         self.attempt_over(id, attempt, Status::Cancelled, 0.0, Load::default());
     }
 
+    /// Lets go of what is held, at the end of a turn. Where the request has been sent again in the same
+    /// turn the call is left out: it could overtake that read and take its state away, and engines let
+    /// go of the rest when an answer begins.
     fn release(&mut self, id: RequestId) {
-        let Some(open) = self.open.get(&id).filter(|open| !open.streamed) else { return };
+        let Some(open) = self.open.get(&id).filter(|open| open.reached && !open.streamed) else { return };
+        if !open.answered && open.out.get() > 0 {
+            return;
+        }
         let late = open.answered && open.broken_read;
         if late && open.release_waits.replace(true) {
             return;
         }
         let delay = if late { self.tuning.release_delay } else { Duration::ZERO };
+        log::debug!("release request={} answered={} out={}", id.0, open.answered, open.out.get());
         self.book.release(id, delay, open.out.clone(), open.release_waits.clone());
     }
 
--- a/tests/chat.rs
+++ b/tests/chat.rs
@@ -220,3 +220,27 @@
     })
     .await;
 }
+
+// A release overtook the read that followed it and took away its state: writers found none (410), and the
+// request was read over and over. One sent again at once is not released; nothing is held where none came.
+#[rstest]
+#[case::read_that_broke(false)]
+#[case::read_that_never_got_there(true)]
+#[tokio::test]
+async fn request_read_again_is_not_released_in_between(#[case] unreachable: bool) {
+    local(async {
+        let mut w = World::start().await;
+        w.readers[0].mode.set(Mode::CutOnce);
+        if unreachable {
+            w.readers[0].address = closed_port().await;
+            w.discovery.set(&w.readers[0], "SERVING");
+        }
+        for n in 0..6 {
+            let id = format!("a{n}");
+            assert_eq!(chat(w.daemon.address, &id, "correction", 9000).await.status, 200);
+            assert_eq!(w.releases(&id), 0);
+        }
+        assert!(w.readers[1].count("/v1/") >= 1);
+    })
+    .await;
+}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -321,3 +321,9 @@
 pub async fn local(test: impl Future<Output = ()>) {
     tokio::task::LocalSet::new().run_until(test).await;
 }
+
+/// An address at which nothing listens.
+pub async fn closed_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("an address")
+}
