Give both fronts one intake, test the core without a wire, drop clients that read no more

Nothing tested that a send still connecting is withheld when its engine is told to drain: tests/core.rs does, with engines that are neither sockets nor HTTP.

--- a/src/front/inference.rs
+++ b/src/front/inference.rs
@@ -1,6 +1,6 @@
 //! Embeddings and rerank in their usual shapes, on the same core as chat: one driver for each model.
 
-use super::platform::{Bodies, header, read_body, rejection, respond, span};
+use super::intake::{Bodies, Whole, header, span};
 use super::reply;
 use crate::config::Api;
 use crate::gateway::{Answer, Gateway, Key, Submission};
@@ -14,7 +14,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Characters of a token.
 const TOKEN_CHARS: usize = 4;
@@ -159,11 +159,8 @@
 
     /// Answers a call.
     pub(super) async fn call(&self, api: Api, request: Request<Incoming>) -> Response<FrontBody> {
-        let came = Instant::now();
-        let path = request.uri().path_and_query().map_or_else(String::new, ToString::to_string);
-        let (head, body) = request.into_parts();
-        let body = match read_body(&self.bodies, body).await {
-            Ok(body) => body,
+        let Whole { came, path, headers, body } = match self.bodies.read(request).await {
+            Ok(whole) => whole,
             Err(response) => return response,
         };
         let asked = match api {
@@ -181,7 +178,7 @@
         if ask.inputs > model.max_inputs {
             return reply::error(StatusCode::PAYLOAD_TOO_LARGE, "more inputs than the model takes in a call");
         }
-        let deadline = match header(&head.headers, "req-deadline") {
+        let deadline = match header(&headers, "req-deadline") {
             Ok(None) => model.deadline,
             Ok(Some(text)) => match span(text) {
                 Some(span) => span.min(model.deadline),
@@ -189,7 +186,7 @@
             },
             Err(message) => return bad(&message),
         };
-        let key = match key(&head.headers, api, &body) {
+        let key = match key(&headers, api, &body) {
             Ok(key) => key,
             Err(message) => return bad(&message),
         };
@@ -209,11 +206,11 @@
         };
         let ticket = match model.gateway.submit(submission) {
             Ok(ticket) => ticket,
-            Err(rejected) => return rejection(rejected),
+            Err(rejected) => return reply::rejection(rejected),
         };
         // A repeat waits for a try with a deadline of its own; it is answered in its own time.
         let own = tokio::time::timeout(Duration::from_micros(expires_in), ticket.answer()).await;
-        respond(own.unwrap_or(Answer::Failed { timed_out: true }))
+        reply::respond(own.unwrap_or(Answer::Failed { timed_out: true }))
     }
 
     fn next_id(&self) -> RequestId {
--- /dev/null
+++ b/src/front/intake.rs
@@ -0,0 +1,123 @@
+//! What every front does with a request first: its head and body read within their bounds.
+
+use super::reply;
+use crate::gateway::Rejected;
+use crate::interface::{Micros, RequestId};
+use crate::net::FrontBody;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
+
+/// Most bytes of a body.
+const BODY_BYTES: usize = 256 << 10;
+/// Most bytes of all bodies that are being read.
+const READING_BYTES: usize = 24 << 20;
+/// How long a body may take to come in.
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
+
+/// A request that has come in whole.
+pub(super) struct Whole {
+    /// When its head had come.
+    pub(super) came: Instant,
+    /// Path and query.
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Bounds the bytes of all bodies that are being read: many at once could hold more than there is.
+pub struct Bodies(Semaphore);
+
+impl Default for Bodies {
+    fn default() -> Self {
+        Self(Semaphore::new(READING_BYTES))
+    }
+}
+
+impl Bodies {
+    /// Reads a request within its bounds of size and time.
+    pub(super) async fn read(&self, request: Request<Incoming>) -> Result<Whole, Response<FrontBody>> {
+        let came = Instant::now();
+        let (head, body) = request.into_parts();
+        let most = body.size_hint().upper().unwrap_or(BODY_BYTES as u64).min(BODY_BYTES as u64);
+        let Ok(_room) = self.0.try_acquire_many(most as u32) else {
+            return Err(reply::rejection(Rejected::Busy));
+        };
+        let body = match tokio::time::timeout(BODY_PATIENCE, Limited::new(body, BODY_BYTES).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                return Err(reply::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 256 KiB"));
+            }
+            Ok(Err(_)) => return Err(reply::error(StatusCode::BAD_REQUEST, "the body could not be read")),
+            Err(_) => {
+                return Err(reply::error(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"));
+            }
+        };
+        let path = head.uri.path_and_query().map_or_else(String::new, ToString::to_string);
+        Ok(Whole { came, path, headers: head.headers, body })
+    }
+}
+
+/// A header's text.
+pub(super) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, String> {
+    let text = |value: &'a HeaderValue| value.to_str().map_err(|_| format!("{name}: not text"));
+    headers.get(name).map(text).transpose().map(|value| value.map(str::trim))
+}
+
+/// Reads a span such as `4800m` or `250u`, in microseconds.
+pub(super) fn span(text: &str) -> Option<Micros> {
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let scale = match unit {
+        "m" => 1_000.0,
+        "u" => 1.0,
+        _ => return None,
+    };
+    let number: f64 = number.parse().ok()?;
+    (number.is_finite() && (0.0..=1e12).contains(&number)).then_some((number * scale) as Micros)
+}
+
+/// A request's id: it becomes part of a path.
+pub(super) fn request_id(text: &str) -> Option<RequestId> {
+    let plain = |c: u8| c.is_ascii_alphanumeric() || b"-._~".contains(&c);
+    (!text.is_empty() && text.len() <= 128 && text.bytes().all(plain)).then(|| RequestId(Arc::from(text)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case("4800m", Some(4_800_000))]
+    #[case("250u", Some(250))]
+    #[case("1.5m", Some(1_500))]
+    #[case("0m", Some(0))]
+    #[case("-1m", None)]
+    #[case("nanm", None)]
+    #[case("infm", None)]
+    #[case("48", None)]
+    #[case("m", None)]
+    #[case("", None)]
+    #[case("5é", None)]
+    fn span_has_a_number_and_a_unit(#[case] text: &str, #[case] expected: Option<Micros>) {
+        assert_eq!(span(text), expected);
+    }
+
+    // The id becomes part of a path at an engine: nothing in it may change that path.
+    #[rstest]
+    #[case("9b1f03aa5c7e2d41", true)]
+    #[case("5d3a91c4-338c-4494", true)]
+    #[case("", false)]
+    #[case("a/b", false)]
+    #[case("a?b", false)]
+    #[case("a b", false)]
+    #[case("%2e", false)]
+    fn id_is_plain(#[case] text: &str, #[case] good: bool) {
+        assert_eq!(request_id(text).is_some(), good);
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,11 +1,13 @@
 //! Fronts: what clients speak, turned into what the core takes in, and its answers turned back.
 
 mod inference;
+mod intake;
 mod platform;
 mod reply;
 
 pub use inference::{Inference, Model};
-pub use platform::{Bodies, Platform};
+pub use intake::Bodies;
+pub use platform::Platform;
 
 use crate::gateway::Rejected;
 use crate::net::{Front, FrontBody, Phase};
@@ -60,6 +62,6 @@
     }
 
     fn too_many(&self) -> Response<FrontBody> {
-        platform::rejection(Rejected::Busy)
+        reply::rejection(Rejected::Busy)
     }
 }
--- a/src/front/reply.rs
+++ b/src/front/reply.rs
@@ -1,11 +1,15 @@
 //! Answers in the API's words.
 
+use crate::gateway::{Answer, Rejected};
 use crate::interface::Micros;
-use crate::net::FrontBody;
+use crate::net::{FrontBody, HttpEvents};
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+/// When to come back after the gateway itself had no room.
+const BUSY_RETRY: Micros = 500_000;
+
 /// An answer in one piece.
 pub(super) fn json(status: StatusCode, body: Bytes) -> Response<FrontBody> {
     let mut response = Response::new(FrontBody::Whole(Some(body)));
@@ -46,3 +50,38 @@
     }
     response
 }
+
+/// The answer to a request that was not taken.
+pub(super) fn rejection(rejected: Rejected) -> Response<FrontBody> {
+    match rejected {
+        Rejected::Duplicate => error(StatusCode::CONFLICT, "a request of this id is open"),
+        Rejected::KeyReused => {
+            error(StatusCode::UNPROCESSABLE_ENTITY, "the idempotency key came with another request")
+        }
+        Rejected::Busy => refusal(StatusCode::SERVICE_UNAVAILABLE, "no room for the request now", BUSY_RETRY),
+        Rejected::Stopped => refusal(StatusCode::SERVICE_UNAVAILABLE, "the gateway has stopped", BUSY_RETRY),
+    }
+}
+
+/// The core's answer as a response.
+pub(super) fn respond(answer: Answer<HttpEvents>) -> Response<FrontBody> {
+    match answer {
+        Answer::Events(relay) => {
+            let mut response = Response::new(FrontBody::Relay(relay));
+            let kind = HeaderValue::from_static("text/event-stream");
+            response.headers_mut().insert(CONTENT_TYPE, kind);
+            response
+        }
+        Answer::Whole(body) => json(StatusCode::OK, body),
+        Answer::Faulty(body) => json(StatusCode::BAD_REQUEST, body),
+        Answer::Refused { retry_after } => {
+            refusal(StatusCode::TOO_MANY_REQUESTS, "refused; nothing has run", retry_after)
+        }
+        Answer::Failed { timed_out: true } => {
+            error(StatusCode::GATEWAY_TIMEOUT, "no answer in time; it may have run")
+        }
+        Answer::Failed { timed_out: false } => {
+            error(StatusCode::BAD_GATEWAY, "no engine answered; it may have run")
+        }
+    }
+}
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -7,6 +7,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -16,6 +17,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// How long what was sent to a client may stay untaken.
+const UNREAD: Duration = Duration::from_secs(30);
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -138,7 +142,10 @@
     idle: Duration,
     mut phase: watch::Receiver<Phase>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
+    // A client that has vanished, or reads no more, must not hold its connection and stream for good.
+    let set = stream.set_nodelay(true);
+    let set = set.and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD)));
+    if let Err(error) = set {
         log::debug!("connection {error}");
     }
     let service = service_fn(move |request| {
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,144 @@
+//! The core by itself, with engines that are neither sockets nor HTTP.
+
+use bytes::Bytes;
+use meadowlug::gateway::*;
+use meadowlug::interface::*;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// An answer that is all there.
+struct Pieces(VecDeque<Bytes>);
+
+impl EventStream for Pieces {
+    fn poll_event(&mut self, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>> {
+        Poll::Ready(self.0.pop_front().map(Ok))
+    }
+}
+
+/// Engines whose connections come up when the test lets them; they note what was written where.
+#[derive(Clone, Default)]
+struct Fake {
+    connects: Rc<Cell<bool>>,
+    connected: Rc<Notify>,
+    written: Rc<RefCell<Vec<String>>>,
+}
+
+impl Engines for Fake {
+    type Job = &'static str;
+    type Events = Pieces;
+
+    fn call(
+        &self,
+        call: Call<&'static str>,
+    ) -> impl Future<Output = Result<Replied<Pieces>, AttemptError>> + 'static {
+        let fake = self.clone();
+        async move {
+            if !fake.connects.get() {
+                fake.connected.notified().await;
+            }
+            if !call.gate.is_open() {
+                return Err(AttemptError::new(Progress::Withdrawn, "drains"));
+            }
+            fake.written.borrow_mut().push(call.endpoint.to_string());
+            let events = || Pieces(VecDeque::from([Bytes::from_static(b"a"), Bytes::from_static(b"b")]));
+            let reader = call.endpoint.starts_with('r');
+            let reply = if reader { Reply::Read { cached_tokens: 0.0 } } else { Reply::Events(events()) };
+            Ok(Replied { reply, load: Load::default() })
+        }
+    }
+
+    fn release(&self, _: Arc<str>, _: RequestId) -> impl Future<Output = Result<(), AttemptError>> + 'static {
+        std::future::ready(Ok(()))
+    }
+
+    fn forget(&self, _: &str) {}
+}
+
+fn listed(number: u32, kind: usize, endpoint: &str, condition: Condition) -> Listed {
+    let entry = Entry { server: ServerId(number), kind, condition, ..Entry::default() };
+    Listed { entry, endpoint: Arc::from(endpoint) }
+}
+
+fn change(form: RosterForm, engines: Vec<Listed>) -> Change {
+    Change { revision: 1, form, engines }
+}
+
+fn started(fake: &Fake) -> Gateway<Fake> {
+    let settings = Settings {
+        roles: vec![Role::Read, Role::Write],
+        classes: vec![Class::default()],
+        ..Settings::default()
+    };
+    let (gateway, _) = start("test", settings, 1, fake.clone(), Tuning::default()).expect("lawful");
+    let ready = Condition::Ready;
+    let all = vec![listed(1, 0, "r1", ready), listed(2, 0, "r2", ready), listed(11, 1, "w1", ready)];
+    gateway.tell(change(RosterForm::Full, all)).expect("it runs");
+    gateway
+}
+
+fn submission(id: &str) -> Submission<&'static str> {
+    let id = RequestId(Arc::from(id));
+    let arrival = Arrival { id, prompt_tokens: 100.0, expires_in: 5_000_000, ..Arrival::default() };
+    Submission { arrival, job: "job", size: 3, key: None }
+}
+
+async fn pieces(answer: Answer<Pieces>) -> Vec<Bytes> {
+    let Answer::Events(mut relay) = answer else { panic!("not served") };
+    let mut all = Vec::new();
+    while let Some(piece) = std::future::poll_fn(|context| relay.poll_piece(context)).await {
+        all.push(piece.expect("whole"));
+    }
+    all
+}
+
+async fn local(test: impl Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+// The news of a drain may come while a connection is still being made: the send must not go out then.
+#[tokio::test]
+async fn send_still_connecting_when_its_engine_is_told_to_drain_goes_elsewhere() {
+    local(async {
+        let fake = Fake::default();
+        let gateway = started(&fake);
+        let ticket = gateway.submit(submission("a")).expect("taken");
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        let drains = vec![listed(1, 0, "r1", Condition::Draining)];
+        gateway.tell(change(RosterForm::Delta, drains)).expect("it runs");
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        fake.connects.set(true);
+        fake.connected.notify_waiters();
+        assert_eq!(pieces(ticket.answer().await).await, ["a", "b"]);
+        assert_eq!(*fake.written.borrow(), ["r2", "w1"]);
+    })
+    .await;
+}
+
+// What is open is bounded whatever comes in, and room is given back.
+#[tokio::test]
+async fn request_beyond_the_bounds_is_not_taken_until_another_ends() {
+    local(async {
+        let fake = Fake::default();
+        let gateway = started(&fake);
+        let most = Tuning::default().limits;
+        let huge = Submission { size: most.bytes - 3, ..submission("a") };
+        let first = gateway.submit(huge).expect("taken");
+        let second = gateway.submit(submission("b")).expect("taken");
+        assert_eq!(gateway.submit(submission("b")).err(), Some(Rejected::Duplicate));
+        assert_eq!(gateway.submit(submission("c")).err(), Some(Rejected::Busy));
+        fake.connects.set(true);
+        fake.connected.notify_waiters();
+        pieces(first.answer().await).await;
+        pieces(second.answer().await).await;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        assert_eq!(gateway.open(), 0);
+        assert!(gateway.submit(submission("c")).is_ok());
+    })
+    .await;
+}
