Bring settings to the core as revisioned changes, reread on SIGHUP; bound each model's calls

The roster reached the core through Changes while settings were fixed at the start. A Change now carries News, settings or roster; the module takes Event::Settings, and SIGHUP has the file read again (names and roles must stay; a file at fault changes nothing).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -259,6 +259,14 @@
         })
     }
 
+    /// Settings for what comes from now on; those that a new router would refuse change nothing.
+    fn take_settings(&mut self, settings: &Settings) {
+        if let Ok(new) = Self::new(settings.clone(), 0) {
+            self.tenants.resize(new.tenants.len(), (0.0, 0));
+            (self.replicas, self.settings) = (new.replicas, new.settings);
+        }
+    }
+
     /// Takes what happened at `now` and tells what to do.
     pub fn handle(&mut self, now: Micros, events: &[Event]) -> Vec<Action> {
         self.now = now.max(self.now);
@@ -269,6 +277,7 @@
                 Event::First { id, attempt } => self.take_first(id, *attempt),
                 Event::Outcome(outcome) => self.take_outcome(outcome),
                 Event::Abandoned { id } => self.end(id, None),
+                Event::Settings(settings) => self.take_settings(settings),
                 Event::Timer { token: 0 } => self.ticking = false,
                 Event::Timer { .. } => {}
             }
--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -1,6 +1,6 @@
 //! Discovery's list of engines, and the names in it.
 
-use crate::gateway::{Change, Listed};
+use crate::gateway::{Change, Listed, News};
 use crate::interface::{Condition, Entry, Micros, RosterForm, ServerId};
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -36,7 +36,7 @@
 }
 
 /// The names that stand for places in the settings.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     /// Zones.
     pub zones: Vec<String>,
@@ -98,10 +98,10 @@
 impl List {
     /// The change that it is to the core.
     pub fn change(&self, names: &Names, numbers: &mut Numbers) -> Change {
-        Change {
-            revision: self.rev,
+        let news = News::Roster {
             form: if self.all { RosterForm::Full } else { RosterForm::Delta },
             engines: self.targets.iter().filter_map(|t| t.listed(names, numbers)).collect(),
-        }
+        };
+        Change { revision: self.rev, news }
     }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,9 +2,11 @@
 
 mod inference;
 mod list;
+mod reload;
 
 pub use inference::{Api, Inference, InferencePool, Repeat};
 pub use list::{List, Names, Numbers, Target, place};
+pub use reload::Reload;
 
 use crate::interface::{Class, Effect, Group, Load, Micros, Role, Settings};
 use serde::Deserialize;
@@ -322,7 +324,8 @@
         assert_eq!((settings.classes[0].aim, settings.classes[0].token_aim), (1_500_000, 70_000));
         assert_eq!(config.load.read(br#"{"active":7,"x0":0.5}"#).memory_share, Some(0.5));
         let change = config.known.expect("known").change(&config.names, &mut Numbers::default());
-        let entry = &change.engines[0].entry;
+        let crate::gateway::News::Roster { engines, .. } = change.news else { panic!("no roster") };
+        let entry = &engines[0].entry;
         assert_eq!((entry.zone, entry.cell, entry.kind, entry.started_at), (1, 3, 1, 2_000));
         assert_eq!(entry.condition, crate::interface::Condition::Draining);
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::config::{self, Config};
 use crate::front::{Bodies, Fronts, Inference, Model, Platform};
-use crate::gateway::{self, Changes, Gateway, Tuning};
+use crate::gateway::{self, Changes, Gateway, News, Tuning};
 use crate::interface::Settings;
 use crate::net::{self, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
 use std::error::Error;
@@ -16,15 +16,22 @@
 const LEAVING: Duration = Duration::from_millis(500);
 /// What is let go after the last answer still has to reach an engine.
 const LAST_RELEASES: Duration = Duration::from_millis(300);
+/// Most bytes of the open calls to one model.
+const MODEL_BYTES: usize = 8 << 20;
 /// How often idle connections are looked at.
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
 /// How long a client's connection may stand without a whole head.
 const CLIENT_IDLE: Duration = Duration::from_secs(60);
 
-/// Hands the roster's changes to a driver.
+/// Hands changes to a driver.
 async fn follow(mut changes: impl Changes, gateway: Gateway<HttpEngines>) {
     while let Some(change) = changes.next().await {
-        log::info!("roster rev={} form={:?} entries={}", change.revision, change.form, change.engines.len());
+        match &change.news {
+            News::Settings(_) => log::info!("settings rev={}", change.revision),
+            News::Roster { form, engines } => {
+                log::info!("roster rev={} form={form:?} entries={}", change.revision, engines.len());
+            }
+        }
         if gateway.tell(change).is_err() {
             return;
         }
@@ -63,6 +70,7 @@
         for pool in &file.pools {
             let mut tuning = Tuning::default();
             tuning.limits.keep = file.keep_answers();
+            tuning.limits.bytes = MODEL_BYTES;
             let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false);
             let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
             let roster = Watch::new(&pool.discovery, names, pool.known.clone());
@@ -79,10 +87,11 @@
     }
 }
 
-/// Serves on the listener until `stop` is done and what is open has ended.
+/// Serves on the listener until `stop` is done and what is open has ended. Chat's settings follow `reload`.
 pub async fn run(
     config: Config,
     inference: Option<config::Inference>,
+    reload: Option<config::Reload>,
     listener: TcpListener,
     stop: impl Future<Output = std::io::Result<()>>,
 ) -> Result<(), Box<dyn Error>> {
@@ -98,6 +107,9 @@
     let roster = Watch::new(&config.discovery, config.names.clone(), config.known);
     let classes = config.settings.classes.clone();
     let chat = drivers.start("chat", config.settings, Tuning::default(), engines, roster)?;
+    if let Some(reload) = reload {
+        tokio::task::spawn_local(follow(reload, chat.clone()));
+    }
     let models = inference.as_ref().map(|file| drivers.models(file)).transpose()?;
     let stamp = gateway::Clock::default().now() ^ config.seed.rotate_left(32);
     tokio::task::spawn_local(async move {
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -7,7 +7,7 @@
 use super::route::Route;
 use super::send::{self, Begun};
 use super::take_in::{Caller, Rejected, Submission, Taken, Ticket};
-use super::{Answer, AttemptError, Call, Change, Clock, Engines, Gate, Limits, Replied, Reply};
+use super::{Answer, AttemptError, Call, Change, Clock, Engines, Gate, Limits, News, Replied, Reply};
 use crate::choice::Router;
 use crate::interface::*;
 use std::cell::{Cell, RefCell};
@@ -55,7 +55,7 @@
     Gone { id: RequestId, caller: u64 },
     Begun { id: RequestId, attempt: u32, result: Result<Begun<E::Events>, AttemptError> },
     Ended { id: RequestId, attempt: u32, end: End },
-    Roster(Change),
+    Changed(Change),
 }
 
 /// Hands requests to a running driver.
@@ -100,9 +100,9 @@
         Ok(Ticket::new(waits_for, number, ticket, self.inbox.clone()))
     }
 
-    /// Hands the driver news of the roster.
+    /// Hands the driver news of its settings or roster.
     pub fn tell(&self, change: Change) -> Result<(), Rejected> {
-        self.inbox.send(Input::Roster(change)).map_err(|_| Rejected::Stopped)
+        self.inbox.send(Input::Changed(change)).map_err(|_| Rejected::Stopped)
     }
 
     /// Whether each role that a request needs is listed as ready.
@@ -163,6 +163,11 @@
     }
 }
 
+/// By class, whether repeating does nothing.
+fn harmless(settings: &Settings) -> Vec<bool> {
+    settings.classes.iter().map(|class| class.effect == Effect::Safe).collect()
+}
+
 struct Driver<E: Engines> {
     clock: Clock,
     engines: Rc<E>,
@@ -197,7 +202,7 @@
     let roles: Rc<[Role]> = settings.roles.clone().into();
     let admission = Rc::new(RefCell::new(Admission::new(tuning.limits)));
     let engines = Rc::new(engines);
-    let harmless = settings.classes.iter().map(|class| class.effect == Effect::Safe).collect();
+    let harmless = harmless(&settings);
     let max_attempts = settings.max_attempts as usize;
     let mut driver = Driver {
         clock: Clock::default(),
@@ -260,7 +265,7 @@
             Input::Gone { id, caller } => self.take_gone(id, caller),
             Input::Begun { id, attempt, result } => self.take_begun(id, attempt, result),
             Input::Ended { id, attempt, end } => self.take_ended(id, attempt, &end),
-            Input::Roster(change) => self.take_roster(&change),
+            Input::Changed(change) => self.take_change(change),
         }
     }
 
@@ -366,12 +371,21 @@
         }
     }
 
-    fn take_roster(&mut self, change: &Change) {
-        for endpoint in self.roster.apply(change) {
-            self.engines.forget(&endpoint);
+    fn take_change(&mut self, change: Change) {
+        match change.news {
+            News::Settings(settings) => {
+                self.harmless = harmless(&settings);
+                self.max_attempts = settings.max_attempts as usize;
+                self.route.tell(Event::Settings(settings));
+            }
+            News::Roster { form, engines } => {
+                for endpoint in self.roster.apply(form, &engines) {
+                    self.engines.forget(&endpoint);
+                }
+                let entries = engines.into_iter().map(|listed| listed.entry).collect();
+                self.route.tell(Event::Roster { form, entries });
+            }
         }
-        let entries = change.engines.iter().map(|listed| listed.entry.clone()).collect();
-        self.route.tell(Event::Roster { form: change.form, entries });
     }
 
     // ---- What is to be done ----
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,7 +18,7 @@
 pub use clock::Clock;
 pub use driver::{Gateway, Tuning, start};
 pub use relay::Relay;
-pub use roster::{Change, Changes, Gate, Listed};
+pub use roster::{Change, Changes, Gate, Listed, News};
 pub use take_in::{Rejected, Submission, Ticket};
 
 use crate::interface::{Load, Micros, RequestId};
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,6 +1,6 @@
-//! Revisioned changes of the roster, and what the core holds of it: endpoints and conditions.
+//! Revisioned changes of settings and roster, and what the core holds of the latter.
 
-use crate::interface::{Condition, Entry, RosterForm, ServerId};
+use crate::interface::{Condition, Entry, RosterForm, ServerId, Settings};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -16,15 +16,27 @@
     pub endpoint: Arc<str>,
 }
 
-/// A change of the roster.
+/// What has changed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The settings, all of them.
+    Settings(Settings),
+    /// The roster.
+    Roster {
+        /// The whole list, or the changed entries only.
+        form: RosterForm,
+        /// The entries.
+        engines: Vec<Listed>,
+    },
+}
+
+/// A change of what the core is told from outside.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
-    /// The version that it leads to.
+    /// The version, at its source, that it leads to.
     pub revision: u64,
-    /// The whole list, or the changed entries only.
-    pub form: RosterForm,
-    /// The entries.
-    pub engines: Vec<Listed>,
+    /// What has changed.
+    pub news: News,
 }
 
 /// Where changes come from, whatever keeps them.
@@ -41,15 +53,15 @@
 
 impl Roster {
     /// Takes a change in; gives the endpoints that are no longer used.
-    pub(super) fn apply(&self, change: &Change) -> Vec<Arc<str>> {
+    pub(super) fn apply(&self, form: RosterForm, listed: &[Listed]) -> Vec<Arc<str>> {
         let mut engines = self.engines.borrow_mut();
         let mut unused = Vec::new();
-        if change.form == RosterForm::Full {
+        if form == RosterForm::Full {
             for listed in engines.values_mut() {
                 listed.entry.condition = Condition::Gone;
             }
         }
-        for new in &change.engines {
+        for new in listed {
             if let Some(old) = engines.insert(new.entry.server, new.clone())
                 && (old.endpoint != new.endpoint || old.entry.started_at != new.entry.started_at)
             {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -283,6 +283,8 @@
         /// Which request.
         id: RequestId,
     },
+    /// The settings have changed.
+    Settings(Settings),
     /// A timer came due.
     Timer {
         /// The token it was set with.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,15 +1,15 @@
 //! The meadowlug gateway: reads its configuration and serves until it is stopped.
 #![forbid(unsafe_code)]
 
-use meadowlug::config::{Config, Inference};
+use meadowlug::config::{Config, Inference, Reload};
 use meadowlug::{daemon, net};
 use std::error::Error;
 use std::process::ExitCode;
 
 fn start() -> Result<(), Box<dyn Error>> {
     meadowlug::log::start(std::env::var("MEADOWLUG_LOG").ok().as_deref());
-    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set")?;
-    let config = Config::decode(&std::fs::read(path)?)?;
+    let path = std::env::var_os("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
+    let config = Config::decode(&std::fs::read(&path)?)?;
     let inference = match std::env::var_os("MEADOWLUG_INFERENCE") {
         Some(path) => Some(Inference::decode(&std::fs::read(path)?)?),
         None => None,
@@ -17,7 +17,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let listener = tokio::net::TcpListener::bind(&config.listen).await?;
-        daemon::run(config, inference, listener, net::stop_asked()).await
+        let reload = Reload::new(path.into(), &config, net::reload_asked()?);
+        daemon::run(config, inference, Some(reload), listener, net::stop_asked()).await
     })
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,4 +11,4 @@
 pub use engines::{HttpEngines, HttpEvents, Job, Manner};
 pub use pool::{Pool, PoolLimits};
 pub use serve::{Front, FrontBody, Phase, ServeLimits, serve};
-pub use signals::stop_asked;
+pub use signals::{reload_asked, stop_asked};
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,7 +1,18 @@
-//! The signals that ask for a planned stop.
+//! The signals that ask for a planned stop or for the configuration to be read again.
 
 use std::io;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// Passes on each SIGHUP, which asks for the configuration to be read again.
+pub fn reload_asked() -> io::Result<mpsc::Receiver<()>> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    let (ask, asked) = mpsc::channel(1);
+    tokio::task::spawn_local(
+        async move { while hangups.recv().await.is_some() && ask.send(()).await.is_ok() {} },
+    );
+    Ok(asked)
+}
 
 /// Waits until the process is asked to stop.
 pub async fn stop_asked() -> io::Result<()> {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -66,7 +66,7 @@
 }
 
 fn change(form: RosterForm, engines: Vec<Listed>) -> Change {
-    Change { revision: 1, form, engines }
+    Change { revision: 1, news: News::Roster { form, engines } }
 }
 
 fn started(fake: &Fake) -> Gateway<Fake> {
@@ -142,3 +142,22 @@
     })
     .await;
 }
+
+// Settings reach a running driver as the roster does, by a change; what was learnt stays.
+#[tokio::test]
+async fn changed_settings_hold_from_then_on() {
+    local(async {
+        let fake = Fake::default();
+        fake.connects.set(true);
+        let gateway = started(&fake);
+        let tight = Settings {
+            roles: vec![Role::Read, Role::Write],
+            classes: vec![Class { deadline: 1, ..Class::default() }],
+            ..Settings::default()
+        };
+        gateway.tell(Change { revision: 2, news: News::Settings(tight) }).expect("it runs");
+        let answer = gateway.submit(submission("a")).expect("taken").answer().await;
+        assert!(matches!(answer, Answer::Refused { .. }), "its class gives no time any more");
+    })
+    .await;
+}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -301,7 +301,7 @@
                 asked.notified().await;
                 Ok(())
             };
-            meadowlug::daemon::run(config, inference, listener, stop).await.expect("a clean end");
+            meadowlug::daemon::run(config, inference, None, listener, stop).await.expect("a clean end");
         });
         until("ready", async || ask(address, "GET", "/ready", &[], "").await.status == 200).await;
         Self { address, stop, ended }
