Keep calls that engines find at fault out of the read estimate

Seen in review, then in a test: an engine's 400 was told to the module as served (take_begun), so a run of them taught the estimate that calls take a millisecond; a slow call after twelve of them was called off again and again (6 runs instead of 1). Such an attempt now counts as never sent: it ends the request and tells nothing of the engine. A release that comes twice in a turn goes out once.

--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -330,13 +330,14 @@
             }
             Reply::Faulty(body) => {
                 self.answer(id.clone(), Answer::Faulty(body));
-                (Status::Served, 0.0)
+                // Turned down unread: it tells neither of the engine's health nor of its speed.
+                (Status::Moot, 0.0)
             }
             Reply::Read { cached_tokens } => (Status::Read, cached_tokens),
             Reply::Declined { no_state } => (Status::Full, f64::from(u8::from(no_state))),
             Reply::Error => (Status::Error, 0.0),
         };
-        if !matches!(status, Status::Read | Status::Served) {
+        if !matches!(status, Status::Read | Status::Served | Status::Moot) {
             let why = if note > 0.0 { " no state" } else { "" };
             log::info!(
                 "attempt turned away request={} n={attempt} server={:08x} {status:?}{why}",
@@ -394,6 +395,7 @@
         match action {
             Action::Send { id, server } => self.send(id, server),
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
+            Action::Release { id } if self.releases.contains(&id) => {}
             Action::Release { id } => self.releases.push(id),
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused { retry_after }),
             Action::Fail { id } => {
--- a/tests/inference.rs
+++ b/tests/inference.rs
@@ -220,3 +220,19 @@
     })
     .await;
 }
+
+// Taken for answers, what an engine turns down at once would make the estimate call every slow call overdue.
+#[tokio::test]
+async fn calls_that_engines_find_at_fault_do_not_hurry_the_others() {
+    local(async {
+        let w = World::start("safe", 20_000).await;
+        w.rerankers.iter().for_each(|e| e.mode.set(Mode::Faults));
+        for _ in 0..12 {
+            assert_eq!(rerank(w.daemon.address, "q", &[]).await.status, 400);
+        }
+        w.rerankers.iter().for_each(|e| e.mode.set(Mode::Slow(1500)));
+        assert_eq!(rerank(w.daemon.address, "q", &[]).await.status, 200);
+        assert_eq!(w.rerank_calls(), 12 + 1);
+    })
+    .await;
+}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -32,6 +32,8 @@
     Declines,
     /// Answers, then closes the connection.
     Closes,
+    /// Finds every request at fault.
+    Faults,
     /// Answers with a list that lacks entries.
     Short,
 }
@@ -117,6 +119,7 @@
         let answer = match mode {
             Mode::Silent => return std::future::pending().await,
             Mode::Declines => "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            Mode::Faults => "HTTP/1.1 400 Bad\r\nContent-Length: 2\r\n\r\n{}".to_owned(),
             Mode::Short => {
                 let body = "{\"results\":[{\"index\":0}]}";
                 format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
