Give each case of the reload test a file of its own

Fault: their file name was made of the lengths of the replaced texts, which two cases share, so they wrote over each other when run side by side.

--- a/src/config/reload.rs
+++ b/src/config/reload.rs
@@ -66,15 +66,13 @@
         #[case] to: &str,
         #[case] replicas: Option<u32>,
     ) {
-        let name = format!("meadowlug-reload-{}-{}", std::process::id(), from.len() * 100 + to.len());
-        let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, FILE.replacen(from, to, 1)).expect("a file");
+        let file = tempfile::NamedTempFile::new().expect("a file of this case's own");
+        std::fs::write(file.path(), FILE.replacen(from, to, 1)).expect("it can be written");
         let (ask, asked) = mpsc::channel(1);
         ask.send(()).await.expect("it listens");
         drop(ask);
         let running = Config::decode(FILE.as_bytes()).expect("lawful");
-        let change = Reload::new(path.clone(), &running, asked).next().await;
-        std::fs::remove_file(path).expect("it is there");
+        let change = Reload::new(file.path().into(), &running, asked).next().await;
         let told = change.map(|change| match change.news {
             News::Settings(settings) => settings.replicas,
             News::Roster { .. } => panic!("no roster in it"),
