Count drains in tests from when they were told, and drain the engine that was called

Seen in review: the drain tests counted 250 ms from the change of the list, not from when discovery had written it, so a stall of a busy machine could fail them (Discovery::set); and the core's test drained r1 whichever engine the module had called, so it could have passed without the gate.

--- a/tests/chat.rs
+++ b/tests/chat.rs
@@ -178,12 +178,12 @@
     local(async {
         let w = World::start().await;
         assert_eq!(chat(w.daemon.address, "a0", "lookup", 9000).await.status, 200);
-        let told = w.discovery.set(&w.readers[0], "DRAINING");
-        let grace = told + Duration::from_millis(250);
+        let drained = w.discovery.set(&w.readers[0], "DRAINING");
         for n in 1..40 {
             assert_eq!(chat(w.daemon.address, &format!("a{n}"), "lookup", 9000).await.status, 200);
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
+        let grace = w.discovery.told(drained) + Duration::from_millis(250);
         assert!(w.readers[0].seen.borrow().iter().all(|seen| seen.at < grace));
     })
     .await;
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -26,6 +26,7 @@
 struct Fake {
     connects: Rc<Cell<bool>>,
     connected: Rc<Notify>,
+    called: Rc<RefCell<Vec<String>>>,
     written: Rc<RefCell<Vec<String>>>,
 }
 
@@ -39,6 +40,7 @@
     ) -> impl Future<Output = Result<Replied<Pieces>, AttemptError>> + 'static {
         let fake = self.clone();
         async move {
+            fake.called.borrow_mut().push(call.endpoint.to_string());
             if !fake.connects.get() {
                 fake.connected.notified().await;
             }
@@ -108,14 +110,18 @@
         let fake = Fake::default();
         let gateway = started(&fake);
         let ticket = gateway.submit(submission("a")).expect("taken");
-        tokio::time::sleep(Duration::from_millis(30)).await;
-        let drains = vec![listed(1, 0, "r1", Condition::Draining)];
+        while fake.called.borrow().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let (number, drains, other) =
+            if fake.called.borrow()[0] == "r1" { (1, "r1", "r2") } else { (2, "r2", "r1") };
+        let drains = vec![listed(number, 0, drains, Condition::Draining)];
         gateway.tell(change(RosterForm::Delta, drains)).expect("it runs");
         tokio::time::sleep(Duration::from_millis(30)).await;
         fake.connects.set(true);
         fake.connected.notify_waiters();
         assert_eq!(pieces(ticket.answer().await).await, ["a", "b"]);
-        assert_eq!(*fake.written.borrow(), ["r2", "w1"]);
+        assert_eq!(*fake.written.borrow(), [other, "w1"]);
     })
     .await;
 }
--- a/tests/inference.rs
+++ b/tests/inference.rs
@@ -94,7 +94,7 @@
         }
         until("under way", async || answers.borrow().len() > 18).await;
         let drained = [&w.reader, &w.writer, &w.embedders[0], &w.rerankers[0]];
-        let told = drained.map(|engine| w.discovery.set(engine, "DRAINING"));
+        let versions = drained.map(|engine| w.discovery.set(engine, "DRAINING"));
         for client in clients {
             client.await.expect("a client ends");
         }
@@ -107,7 +107,8 @@
             };
             assert!(answer.status == 200 && whole, "{answer:?}");
         }
-        for (engine, told) in drained.iter().zip(told) {
+        for (engine, version) in drained.iter().zip(versions) {
+            let told = w.discovery.told(version);
             let seen = engine.seen.borrow();
             let calls: Vec<_> = seen.iter().filter(|s| s.method == "POST").collect();
             assert!(!calls.is_empty() && calls.iter().all(|s| s.at < told + Duration::from_millis(250)));
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -168,6 +168,8 @@
     pub address: SocketAddr,
     list: Rc<RefCell<(u64, Vec<Value>)>>,
     news: Rc<Notify>,
+    /// Versions as they were written to a watch, and when.
+    written: Rc<RefCell<Vec<(u64, Instant)>>>,
 }
 
 impl Discovery {
@@ -175,7 +177,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let targets = engines.iter().map(|e| e.target("SERVING")).collect();
-        let discovery = Self { address, list: Rc::new(RefCell::new((1, targets))), news: Rc::default() };
+        let discovery = Self {
+            address,
+            list: Rc::new(RefCell::new((1, targets))),
+            news: Rc::default(),
+            written: Rc::default(),
+        };
         let serving = discovery.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -185,15 +192,21 @@
         discovery
     }
 
-    /// Lists an engine in another state; gives the time from which that was told.
-    pub fn set(&self, engine: &Engine, state: &str) -> Instant {
+    /// Lists an engine in another state; gives the version from which it is.
+    pub fn set(&self, engine: &Engine, state: &str) -> u64 {
         let (rev, targets) = &mut *self.list.borrow_mut();
         *rev += 1;
         for target in targets.iter_mut().filter(|t| t["uid"] == engine.uid) {
             *target = engine.target(state);
         }
         self.news.notify_waiters();
-        Instant::now()
+        *rev
+    }
+
+    /// When a version, or a later one, was first written to a watch: from then on it counts as told.
+    pub fn told(&self, version: u64) -> Instant {
+        let written = self.written.borrow();
+        written.iter().find(|(rev, _)| *rev >= version).expect("it was told").1
     }
 
     /// Lists one more engine.
@@ -217,6 +230,7 @@
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
+            self.written.borrow_mut().push((rev, Instant::now()));
         }
     }
 }
