Share what the change wrote twice; keep no engine that is gone in the roster

Seen on a read of the whole change, one fault and some repetition. Fault: Roster::apply kept gone engines for good and named their endpoints as unused with every later change, so the idle connections of another engine at such an endpoint would have been closed each time; gone entries now leave the list, with a test. Behaviour is otherwise as it was: - choice.rs: choose_alone repeated choose_writer's last step; both call fewest_tokens. - admit.rs: expire and make_room were one loop with two conditions; now trim. - driver.rs: three fields copied from the settings are read off them; send builds its attempt once; the loss of an attempt is mapped to its status once. - fronts: one TOKEN_CHARS.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -820,9 +820,15 @@
             let fits = out.tokens + request.ask.prompt_tokens <= SHARE_FULL * server.memory;
             alone && (out.attempts == 0 || out.waiting < READER_CAP && fits)
         });
-        let lot = |s: &ServerId| mix(request.lot, u64::from(s.0));
+        self.fewest_tokens(request, open.into_iter())
+    }
+
+    /// The server where this router has the fewest tokens. Equals are drawn by lot: routers that all broke
+    /// ties alike would drown one server.
+    fn fewest_tokens(&self, request: &Request, of: impl Iterator<Item = ServerId>) -> Option<ServerId> {
         let tokens = |s: &ServerId| self.out(*s).tokens;
-        open.into_iter().min_by(|a, b| tokens(a).total_cmp(&tokens(b)).then(lot(a).cmp(&lot(b))))
+        let lot = |s: &ServerId| mix(request.lot, u64::from(s.0));
+        of.min_by(|a, b| tokens(a).total_cmp(&tokens(b)).then(lot(a).cmp(&lot(b))))
     }
 
     fn send(&mut self, id: &RequestId, server: ServerId) {
@@ -942,9 +948,6 @@
         let group = [cell, zone].into_iter().find(near).unwrap_or(open);
         let best = lowest(&group)?;
         let equal = group.into_iter().filter(|s| shares[s] <= best + SHARE_EQUAL);
-        let tokens = |s: &ServerId| self.out(*s).tokens;
-        // Equals are drawn by lot: routers that all broke ties alike would drown one server.
-        let lot = |s: &ServerId| mix(request.lot, u64::from(s.0));
-        equal.min_by(|a, b| tokens(a).total_cmp(&tokens(b)).then(lot(a).cmp(&lot(b))))
+        self.fewest_tokens(request, equal)
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -87,7 +87,8 @@
     }
 }
 
-/// Serves on the listener until `stop` is done and what is open has ended. Chat's settings follow `reload`.
+/// Serves on the listener until `stop` is done and what is open has ended. Chat's settings follow
+/// `reload`.
 pub async fn run(
     config: Config,
     inference: Option<config::Inference>,
--- a/src/front/inference.rs
+++ b/src/front/inference.rs
@@ -1,6 +1,6 @@
 //! Embeddings and rerank in their usual shapes, on the same core as chat: one driver for each model.
 
-use super::intake::{Bodies, Whole, header, span};
+use super::intake::{Bodies, TOKEN_CHARS, Whole, header, span};
 use super::reply;
 use crate::config::Api;
 use crate::gateway::{Answer, Gateway, Key, Submission};
@@ -16,8 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Characters of a token.
-const TOKEN_CHARS: usize = 4;
 /// Longest idempotency key.
 const KEY_CHARS: usize = 255;
 
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -13,6 +13,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Semaphore;
 
+/// Characters of a token.
+pub(super) const TOKEN_CHARS: usize = 4;
 /// Most bytes of a body.
 const BODY_BYTES: usize = 256 << 10;
 /// Most bytes of all bodies that are being read.
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's protocol: chat requests whose headers say what the module needs to know.
 
-use super::intake::{Bodies, Whole, header, request_id, span};
+use super::intake::{Bodies, TOKEN_CHARS, Whole, header, request_id, span};
 use super::reply;
 use crate::config::{Names, place};
 use crate::gateway::{Gateway, Submission};
@@ -11,9 +11,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Characters of a token.
-const TOKEN_CHARS: f64 = 4.0;
-
 /// The platform's front.
 pub struct Platform {
     gateway: Gateway<HttpEngines>,
@@ -89,7 +86,7 @@
         tenant,
         session: header(headers, "req-key")?.map(Arc::from),
         hint: header(headers, "req-cost")?.and_then(|hint| hint.parse::<f64>().ok()).map(|h| h as Micros),
-        prompt_tokens: body as f64 / TOKEN_CHARS,
+        prompt_tokens: body as f64 / TOKEN_CHARS as f64,
         expires_in,
         ..Arrival::default()
     };
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -81,7 +81,7 @@
         key: Option<Key>,
         caller: Caller<S>,
     ) -> Result<Admitted, Rejected> {
-        self.expire();
+        self.trim();
         if let Some(key) = &key
             && let Some((fingerprint, earlier)) = self.keys.get(&key.key)
         {
@@ -137,7 +137,7 @@
                 self.kept_bytes += size;
                 self.kept.push_back((Instant::now() + self.limits.keep, key.clone(), size));
                 self.keys.insert(key, (fingerprint, Try::Ended(answer.again())));
-                self.make_room();
+                self.trim();
             }
         }
         callers
@@ -154,20 +154,14 @@
         self.open.len()
     }
 
-    /// Drops the oldest kept answers beyond what may be kept.
-    fn make_room(&mut self) {
-        while self.kept_bytes > self.limits.keep_bytes
-            && let Some((_, key, size)) = self.kept.pop_front()
+    /// Drops kept answers, the oldest first, that are past their time or beyond what may be kept.
+    fn trim(&mut self) {
+        while let Some((until, key, size)) = self.kept.front()
+            && (*until <= Instant::now() || self.kept_bytes > self.limits.keep_bytes)
         {
-            self.keys.remove(&key);
-            self.kept_bytes -= size;
-        }
-    }
-
-    fn expire(&mut self) {
-        while let Some((_, key, size)) = self.kept.pop_front_if(|(until, ..)| *until <= Instant::now()) {
-            self.keys.remove(&key);
+            self.keys.remove(key);
             self.kept_bytes -= size;
+            self.kept.pop_front();
         }
     }
 }
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -118,10 +118,12 @@
     }
 }
 
-/// An attempt that is out: a task until its answer begins, then a relay.
+/// Whether an attempt is out, and by what.
 enum Out {
+    /// A task works on it until its answer begins.
     Sent(AbortHandle),
-    Relayed,
+    /// No task does: its answer is being relayed, or it could not be sent.
+    Untasked,
     Over,
 }
 
@@ -163,19 +165,11 @@
     }
 }
 
-/// By class, whether repeating does nothing.
-fn harmless(settings: &Settings) -> Vec<bool> {
-    settings.classes.iter().map(|class| class.effect == Effect::Safe).collect()
-}
-
 struct Driver<E: Engines> {
     clock: Clock,
     engines: Rc<E>,
     roster: Rc<Roster>,
-    roles: Rc<[Role]>,
-    /// By class, whether repeating does nothing.
-    harmless: Vec<bool>,
-    max_attempts: usize,
+    settings: Settings,
     tuning: Tuning,
     route: Route,
     book: Book<E>,
@@ -189,7 +183,8 @@
     touched: Vec<RequestId>,
 }
 
-/// Starts a driver on this thread's local set; the log knows it by its name. The task ends only by a panic or by being aborted.
+/// Starts a driver on this thread's local set; the log knows it by its name. The task ends only by a panic
+/// or by being aborted.
 pub fn start<E: Engines>(
     name: &str,
     settings: Settings,
@@ -202,17 +197,13 @@
     let roles: Rc<[Role]> = settings.roles.clone().into();
     let admission = Rc::new(RefCell::new(Admission::new(tuning.limits)));
     let engines = Rc::new(engines);
-    let harmless = harmless(&settings);
-    let max_attempts = settings.max_attempts as usize;
     let mut driver = Driver {
         clock: Clock::default(),
-        route: Route::new(Router::new(settings, seed)?),
+        route: Route::new(Router::new(settings.clone(), seed)?),
         book: Book::new(name, engines.clone(), roster.clone(), tuning.release_patience),
         engines,
         roster: roster.clone(),
-        roles: roles.clone(),
-        harmless,
-        max_attempts,
+        settings,
         tuning,
         admission: admission.clone(),
         inbox,
@@ -270,9 +261,11 @@
     }
 
     fn take_request(&mut self, taken: Taken<E>) {
+        let class = self.settings.classes.get(taken.arrival.class);
+        let harmless = class.is_some_and(|class| class.effect == Effect::Safe);
         let open = Open {
             job: taken.job,
-            harmless: self.harmless.get(taken.arrival.class).copied().unwrap_or(false),
+            harmless,
             expires: self.clock.now() + taken.arrival.expires_in,
             attempts: Vec::new(),
             out: Rc::default(),
@@ -306,15 +299,15 @@
             Ok(begun) => begun,
             Err(error) => {
                 log::info!("attempt lost request={} n={attempt} server={:08x} {error}", id.0, server.0);
-                let unsent = matches!(send::status_of(&error), Status::Moot | Status::NoConnection);
-                open.broken_read |= reading && !unsent;
-                return self.attempt_over(id, attempt, send::status_of(&error), 0.0, Load::default());
+                let status = send::status_of(&error);
+                open.broken_read |= reading && !matches!(status, Status::Moot | Status::NoConnection);
+                return self.attempt_over(id, attempt, status, 0.0, Load::default());
             }
         };
         self.book.hear(server, self.clock.now());
         let (status, note) = match reply {
             Reply::Events(events) => {
-                was.out = Out::Relayed;
+                was.out = Out::Untasked;
                 open.streamed = true;
                 let (inbox, to) = (self.sender.clone(), id.clone());
                 // A driver that has stopped needs no word of the end.
@@ -375,8 +368,7 @@
     fn take_change(&mut self, change: Change) {
         match change.news {
             News::Settings(settings) => {
-                self.harmless = harmless(&settings);
-                self.max_attempts = settings.max_attempts as usize;
+                self.settings = settings.clone();
                 self.route.tell(Event::Settings(settings));
             }
             News::Roster { form, engines } => {
@@ -428,25 +420,22 @@
         let attempt = open.attempts.len() as u32;
         log::debug!("send request={} n={attempt} server={:08x}", id.0, server.0);
         let listed = self.roster.entry(server);
-        let reading = listed.as_ref().is_some_and(|l| self.roles.get(l.entry.kind) == Some(&Role::Read));
-        open.attempts.push(Attempt { server, reading, out: Out::Over });
+        let role = listed.as_ref().and_then(|l| self.settings.roles.get(l.entry.kind));
+        let reading = role == Some(&Role::Read);
+        let allowed = !open.answered && attempt < self.settings.max_attempts;
+        let task = listed.filter(|_| allowed).map(|listed| {
+            let call = Call {
+                endpoint: listed.endpoint,
+                id: id.clone(),
+                job: open.job.clone(),
+                patience: self.clock.until(open.expires),
+                gate: Gate { roster: self.roster.clone(), server },
+            };
+            send::start(&self.engines, call, attempt, &self.sender)
+        });
+        let never_sent = task.is_none();
+        open.attempts.push(Attempt { server, reading, out: task.map_or(Out::Untasked, Out::Sent) });
         open.out.set(open.out.get() + 1);
-        let allowed = !open.answered && open.attempts.len() <= self.max_attempts;
-        let out = match listed.filter(|_| allowed) {
-            Some(listed) => {
-                let call = Call {
-                    endpoint: listed.endpoint,
-                    id: id.clone(),
-                    job: open.job.clone(),
-                    patience: self.clock.until(open.expires),
-                    gate: Gate { roster: self.roster.clone(), server },
-                };
-                Out::Sent(send::start(&self.engines, call, attempt, &self.sender))
-            }
-            None => Out::Relayed,
-        };
-        let never_sent = matches!(out, Out::Relayed);
-        open.attempts[attempt as usize].out = out;
         if never_sent {
             self.attempt_over(id, attempt, Status::Moot, 0.0, Load::default());
         }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -52,7 +52,8 @@
 }
 
 impl Roster {
-    /// Takes a change in; gives the endpoints that are no longer used.
+    /// Takes a change in; gives the endpoints that are no longer used. An engine that is gone is not kept:
+    /// its endpoint may serve another from then on.
     pub(super) fn apply(&self, form: RosterForm, listed: &[Listed]) -> Vec<Arc<str>> {
         let mut engines = self.engines.borrow_mut();
         let mut unused = Vec::new();
@@ -68,8 +69,8 @@
                 unused.push(old.endpoint);
             }
         }
-        let gone = engines.values().filter(|l| l.entry.condition == Condition::Gone);
-        unused.extend(gone.map(|l| l.endpoint.clone()));
+        let gone = engines.extract_if(.., |_, l| l.entry.condition == Condition::Gone);
+        unused.extend(gone.map(|(_, l)| l.endpoint));
         unused
     }
 
@@ -77,11 +78,9 @@
         self.engines.borrow().get(&server).cloned()
     }
 
-    /// All engines that are not gone.
+    /// All engines.
     pub(super) fn listed(&self) -> Vec<(ServerId, Arc<str>)> {
-        let engines = self.engines.borrow();
-        let there = engines.iter().filter(|(_, l)| l.entry.condition != Condition::Gone);
-        there.map(|(id, l)| (*id, l.endpoint.clone())).collect()
+        self.engines.borrow().iter().map(|(id, l)| (*id, l.endpoint.clone())).collect()
     }
 
     fn is_ready(&self, server: ServerId) -> bool {
@@ -109,3 +108,22 @@
         self.roster.is_ready(self.server)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Forgotten again with every later change, the warm connections of whoever listens there next would go.
+    #[test]
+    fn endpoint_of_an_engine_that_is_gone_is_given_up_once() {
+        let listed = |number, condition| {
+            let entry = Entry { server: ServerId(number), condition, ..Entry::default() };
+            [Listed { entry, endpoint: Arc::from("e") }]
+        };
+        let roster = Roster::default();
+        assert!(roster.apply(RosterForm::Full, &listed(1, Condition::Ready)).is_empty());
+        assert_eq!(roster.apply(RosterForm::Delta, &listed(1, Condition::Gone)), ["e".into()]);
+        assert!(roster.apply(RosterForm::Delta, &listed(2, Condition::Ready)).is_empty());
+        assert!(!roster.is_ready(ServerId(1)) && roster.is_ready(ServerId(2)));
+    }
+}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -108,11 +108,7 @@
 ) {
     while let Some(request) = message(&mut stream).await {
         seen.borrow_mut().push(request.clone());
-        let at = mode.get();
-        if at == Mode::CutOnce {
-            mode.set(Mode::Well);
-        }
-        let mode = at;
+        let mode = if mode.get() == Mode::CutOnce { mode.replace(Mode::Well) } else { mode.get() };
         if let Mode::Slow(ms) = mode {
             tokio::time::sleep(Duration::from_millis(ms)).await;
         }
