Let quiet client connections make room, and check each head's lengths on raw bytes

At fault: serve.rs counted every connection against sockets/2, closed none before 60 s (daemon.rs CLIENT_IDLE) and slept in the accept loop when full; intake.rs waited 10 s for a body and read up to 256 KiB of one announced as longer before it answered 413. Ruled out: the module (release, admission: no refusal of its own in the logs) and memory (16 MB).

Now net/clients.rs knows of each connection whether a request is open on it and how long it has been quiet; from three quarters of the table on what was quiet longest (2 s, at the limit 50 ms) is closed, never one on which bytes wait. Heads and bodies that stop are told 408 after 2 s. net/heads.rs follows framing on the raw bytes, since hyper drops a Content-Length that comes after Transfer-Encoding: both together are 400 in either order, chunks are the last on their connection. Answers given before a body's end are followed by a lingering close. All bounds come from limits in config/bounds.rs.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,9 +1,11 @@
 //! The gateway's configuration: decoded, checked, and turned into what the parts need.
 
+mod bounds;
 mod inference;
 mod list;
 mod reload;
 
+pub use bounds::{Bounds, Resources};
 pub use inference::{Api, Inference, InferencePool, Repeat};
 pub use list::{List, Names, Numbers, Target, place};
 pub use reload::Reload;
@@ -45,22 +47,6 @@
     settings: Told,
 }
 
-/// What the process may hold.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(default)]
-pub struct Resources {
-    /// Memory, in megabytes.
-    pub memory_mb: u64,
-    /// File descriptors.
-    pub sockets: usize,
-}
-
-impl Default for Resources {
-    fn default() -> Self {
-        Self { memory_mb: 192, sockets: 1024 }
-    }
-}
-
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Told {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Puts the parts together and serves until it is stopped.
 
-use crate::config::{self, Config};
+use crate::config::{self, Bounds, Config};
 use crate::front::{Bodies, Fronts, Inference, Model, Platform};
 use crate::gateway::{self, Changes, Gateway, News, Tuning};
 use crate::interface::Settings;
@@ -16,12 +16,14 @@
 const LEAVING: Duration = Duration::from_millis(500);
 /// What is let go after the last answer still has to reach an engine.
 const LAST_RELEASES: Duration = Duration::from_millis(300);
-/// Most bytes of the open calls to one model.
-const MODEL_BYTES: usize = 8 << 20;
 /// How often idle connections are looked at.
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
-/// How long a client's connection may stand without a whole head.
-const CLIENT_IDLE: Duration = Duration::from_secs(60);
+/// How long a client's connection may stand still in a request, or before its first; and idle between two,
+/// in any case and at most.
+const CLIENT_STALL: Duration = Duration::from_secs(2);
+const CLIENT_HEAD: Duration = Duration::from_secs(8);
+const CLIENT_IDLE_LEAST: Duration = Duration::from_secs(2);
+const CLIENT_IDLE: Duration = Duration::from_secs(10);
 
 /// Hands changes to a driver.
 async fn follow(mut changes: impl Changes, gateway: Gateway<HttpEngines>) {
@@ -38,9 +40,17 @@
     }
 }
 
+fn tuning(bounds: &Bounds) -> Tuning {
+    let mut tuning = Tuning::default();
+    tuning.limits.requests = bounds.requests;
+    tuning.limits.bytes = bounds.open_bytes;
+    tuning
+}
+
 /// Starts drivers, and tells when one has ended.
 struct Drivers {
     pool: Rc<Pool>,
+    bounds: Bounds,
     seed: u64,
     ended: mpsc::Sender<String>,
 }
@@ -68,9 +78,10 @@
     fn models(&self, file: &config::Inference) -> Result<Vec<Model>, Box<dyn Error>> {
         let mut models = Vec::new();
         for pool in &file.pools {
-            let mut tuning = Tuning::default();
+            let mut tuning = tuning(&self.bounds);
             tuning.limits.keep = file.keep_answers();
-            tuning.limits.bytes = MODEL_BYTES;
+            tuning.limits.bytes = self.bounds.model_bytes / 2 / file.pools.len();
+            tuning.limits.keep_bytes = tuning.limits.bytes;
             let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false);
             let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
             let roster = Watch::new(&pool.discovery, names, pool.known.clone());
@@ -96,18 +107,19 @@
     listener: TcpListener,
     stop: impl Future<Output = std::io::Result<()>>,
 ) -> Result<(), Box<dyn Error>> {
-    let sockets = config.resources.sockets;
+    let bounds = Bounds::from(config.resources);
     let pool = Pool::new(PoolLimits {
-        connections: sockets * 3 / 10,
+        connections: bounds.engine_connections,
+        buffer: bounds.buffer,
         dial_timeout: config.dial_timeout,
         idle: config.idle_limit / 2,
     });
     let (ended, mut drivers_end) = mpsc::channel(1);
-    let drivers = Drivers { pool: pool.clone(), seed: config.seed, ended };
+    let drivers = Drivers { pool: pool.clone(), bounds, seed: config.seed, ended };
     let engines = HttpEngines::new(pool.clone(), config.load.clone(), true);
     let roster = Watch::new(&config.discovery, config.names.clone(), config.known);
     let classes = config.settings.classes.clone();
-    let chat = drivers.start("chat", config.settings, Tuning::default(), engines, roster)?;
+    let chat = drivers.start("chat", config.settings, tuning(&bounds), engines, roster)?;
     if let Some(reload) = reload {
         tokio::task::spawn_local(follow(reload, chat.clone()));
     }
@@ -120,14 +132,22 @@
         }
     });
     let (phase, phases) = watch::channel(Phase::Serving);
-    let bodies = Rc::<Bodies>::default();
+    let bodies = Rc::new(Bodies::new(bounds.reading_bytes));
     let fronts = Fronts {
         platform: Platform::new(chat.clone(), config.names, classes, bodies.clone()),
         inference: models.map(|models| Inference::new(models, bodies, stamp)),
         phase: phases.clone(),
     };
     log::info!("serving name={} listen={}", config.name, listener.local_addr()?);
-    let limits = ServeLimits { connections: sockets / 2, spare: sockets / 10, idle: CLIENT_IDLE };
+    let limits = ServeLimits {
+        connections: bounds.client_connections,
+        spare: bounds.client_spare,
+        buffer: bounds.buffer,
+        stall: CLIENT_STALL,
+        head: CLIENT_HEAD,
+        idle: CLIENT_IDLE,
+        idle_least: CLIENT_IDLE_LEAST,
+    };
     let served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, phases));
     tokio::select! {
         Some(how) = drivers_end.recv() => return Err(format!("a driver ended: {how}").into()),
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -4,8 +4,8 @@
 use crate::gateway::Rejected;
 use crate::interface::{Micros, RequestId};
 use crate::net::FrontBody;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -17,9 +17,8 @@
 pub(super) const TOKEN_CHARS: usize = 4;
 /// Most bytes of a body.
 const BODY_BYTES: usize = 256 << 10;
-/// Most bytes of all bodies that are being read.
-const READING_BYTES: usize = 24 << 20;
-/// How long a body may take to come in.
+/// How long a body may stand still while it comes in, and how long it may take in all.
+const BODY_STALL: Duration = Duration::from_secs(2);
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
 
 /// A request that has come in whole.
@@ -35,28 +34,32 @@
 /// Bounds the bytes of all bodies that are being read: many at once could hold more than there is.
 pub struct Bodies(Semaphore);
 
-impl Default for Bodies {
-    fn default() -> Self {
-        Self(Semaphore::new(READING_BYTES))
+impl Bodies {
+    /// Room for so many bytes.
+    pub fn new(bytes: usize) -> Self {
+        Self(Semaphore::new(bytes))
     }
-}
 
-impl Bodies {
     /// Reads a request within its bounds of size and time.
     pub(super) async fn read(&self, request: Request<Incoming>) -> Result<Whole, Response<FrontBody>> {
         let came = Instant::now();
         let (head, body) = request.into_parts();
-        let most = body.size_hint().upper().unwrap_or(BODY_BYTES as u64).min(BODY_BYTES as u64);
+        let long = || reply::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 256 KiB");
+        let told = body.size_hint();
+        if told.lower() > BODY_BYTES as u64 {
+            return Err(long());
+        }
+        let most = told.upper().unwrap_or(BODY_BYTES as u64);
         let Ok(_room) = self.0.try_acquire_many(most as u32) else {
             return Err(reply::rejection(Rejected::Busy));
         };
-        let body = match tokio::time::timeout(BODY_PATIENCE, Limited::new(body, BODY_BYTES).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                return Err(reply::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is longer than 256 KiB"));
+        let body = match tokio::time::timeout(BODY_PATIENCE, whole(body, told.lower() as usize)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(Cut::Long)) => return Err(long()),
+            Ok(Err(Cut::Broken)) => {
+                return Err(reply::error(StatusCode::BAD_REQUEST, "the body could not be read"));
             }
-            Ok(Err(_)) => return Err(reply::error(StatusCode::BAD_REQUEST, "the body could not be read")),
-            Err(_) => {
+            Ok(Err(Cut::Stalled)) | Err(_) => {
                 return Err(reply::error(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"));
             }
         };
@@ -65,6 +68,32 @@
     }
 }
 
+/// Why a body was not read to its end.
+enum Cut {
+    Long,
+    Broken,
+    Stalled,
+}
+
+/// Reads a body whole; one whose next piece does not come, or that grows too long, is given up.
+async fn whole(mut body: Incoming, length: usize) -> Result<Bytes, Cut> {
+    let mut bytes = BytesMut::with_capacity(length);
+    loop {
+        match tokio::time::timeout(BODY_STALL, body.frame()).await {
+            Err(_) => return Err(Cut::Stalled),
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Err(_))) => return Err(Cut::Broken),
+            Ok(Some(Ok(frame))) => {
+                let data = frame.data_ref().map_or(&[][..], |data| data);
+                if bytes.len() + data.len() > BODY_BYTES {
+                    return Err(Cut::Long);
+                }
+                bytes.extend_from_slice(data);
+            }
+        }
+    }
+}
+
 /// A header's text.
 pub(super) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, String> {
     let text = |value: &'a HeaderValue| value.to_str().map_err(|_| format!("{name}: not text"));
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -64,4 +64,8 @@
     fn too_many(&self) -> Response<FrontBody> {
         reply::rejection(Rejected::Busy)
     }
+
+    fn contradicting(&self) -> Response<FrontBody> {
+        reply::error(StatusCode::BAD_REQUEST, "both transfer-encoding and content-length")
+    }
 }
--- /dev/null
+++ b/src/net/clients.rs
@@ -0,0 +1,302 @@
+//! Clients' connections as they stand: which carry a request, how long the others have been quiet, and
+//! which of those goes first when room is short.
+
+use super::heads::{Framing, Heads};
+use super::transport::{self, is_stale};
+use hyper::body::Body;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Bounds on clients' connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ServeLimits {
+    /// Connections served; those above are told to come back and closed.
+    pub connections: usize,
+    /// Connections above that, at most; what comes then is closed without a word.
+    pub spare: usize,
+    /// Most bytes of a head, and of what is buffered for a connection.
+    pub buffer: usize,
+    /// How long a connection may stand quiet before its first request or within one.
+    pub stall: Duration,
+    /// How long a head may take to come in.
+    pub head: Duration,
+    /// How long a connection may stand idle between requests while there is room.
+    pub idle: Duration,
+    /// How long it may stand so in any case, unless nothing else gives room.
+    pub idle_least: Duration,
+}
+
+/// Part of the connections from which idle ones make room for new ones.
+const CROWDED: f64 = 0.75;
+/// A connection younger than this may have its first request under way.
+const YOUNG: Duration = Duration::from_millis(50);
+
+/// One connection.
+pub(super) struct Standing {
+    pub(super) stream: Rc<TcpStream>,
+    heads: RefCell<Heads>,
+    /// Requests that are being answered.
+    answering: Cell<usize>,
+    /// Whether one was.
+    used: Cell<bool>,
+    /// When the last byte came or the last answer ended.
+    quiet_since: Cell<Instant>,
+    /// When the request that is coming began.
+    begun: Cell<Instant>,
+    /// Whether it was asked to close.
+    leaving: Cell<bool>,
+    close: Notify,
+}
+
+impl Standing {
+    fn new(stream: Rc<TcpStream>) -> Self {
+        let now = Instant::now();
+        Self {
+            stream,
+            heads: RefCell::default(),
+            answering: Cell::new(0),
+            used: Cell::new(false),
+            quiet_since: Cell::new(now),
+            begun: Cell::new(now),
+            leaving: Cell::new(false),
+            close: Notify::new(),
+        }
+    }
+
+    /// Waits until the connection is to be closed.
+    pub(super) async fn asked_to_close(&self) {
+        self.close.notified().await;
+    }
+
+    /// The framing of the request that is handed over next.
+    pub(super) fn next_framing(&self) -> Framing {
+        // A head that was not seen whole cannot be vouched for.
+        self.heads.borrow_mut().next().unwrap_or(Framing::Both)
+    }
+
+    /// Whether a request has begun to come, and has not ended.
+    pub(super) fn in_request(&self) -> bool {
+        self.heads.borrow().in_request()
+    }
+
+    /// Whether a request was ever answered on it.
+    pub(super) fn is_used(&self) -> bool {
+        self.used.get()
+    }
+
+    /// Whether something has come that was not read yet, or the other side has closed.
+    pub(super) fn has_news(&self) -> bool {
+        is_stale(&self.stream)
+    }
+
+    /// It closes by itself from now on, and makes room for nothing more.
+    pub(super) fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    fn ask_to_close(&self) {
+        self.leaving.set(true);
+        self.close.notify_one();
+    }
+
+    /// Stays, since something came in the last moment.
+    pub(super) fn stay(&self) {
+        self.leaving.set(false);
+    }
+
+    /// How long it has been quiet, if no request is open on it.
+    fn quiet(&self) -> Option<Duration> {
+        (!self.leaving.get() && self.answering.get() == 0).then(|| self.quiet_since.get().elapsed())
+    }
+
+    fn is_overdue(&self, limits: &ServeLimits) -> bool {
+        let Some(quiet) = self.quiet() else { return false };
+        if self.in_request() {
+            return quiet >= limits.stall || self.begun.get().elapsed() >= limits.head;
+        }
+        quiet >= if self.used.get() { limits.idle } else { limits.stall }
+    }
+
+    fn came(&self, bytes: &[u8]) {
+        let now = Instant::now();
+        let mut heads = self.heads.borrow_mut();
+        if !heads.in_request() {
+            self.begun.set(now);
+        }
+        heads.push(bytes);
+        self.quiet_since.set(now);
+    }
+}
+
+/// A request that is being answered on a connection.
+pub(super) struct Answering(Rc<Standing>);
+
+impl Answering {
+    pub(super) fn new(standing: Rc<Standing>) -> Self {
+        standing.answering.set(standing.answering.get() + 1);
+        standing.used.set(true);
+        Self(standing)
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.answering.set(self.0.answering.get() - 1);
+        self.0.quiet_since.set(Instant::now());
+    }
+}
+
+/// An answer's body, with which the request's time on the connection ends.
+pub(super) struct Marked<B> {
+    pub(super) body: B,
+    pub(super) _answering: Answering,
+}
+
+impl<B: Body + Unpin> Body for Marked<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<hyper::body::Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A connection's bytes, with what has come noted.
+pub(super) struct Watched(pub(super) Rc<Standing>);
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = transport::poll_read(&self.0.stream, context, buffer);
+        if buffer.filled().len() > before {
+            self.0.came(&buffer.filled()[before..]);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        transport::poll_write(&self.0.stream, context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(transport::end_writing(&self.0.stream))
+    }
+}
+
+/// All connections of clients.
+pub(super) struct Clients {
+    limits: ServeLimits,
+    all: RefCell<BTreeMap<u64, Rc<Standing>>>,
+    next: Cell<u64>,
+}
+
+/// What becomes of a new connection.
+pub(super) enum Place {
+    /// It is served.
+    Served(Seat),
+    /// It is told that there is no room.
+    Turned(Seat),
+    /// There is not even room to tell it.
+    None,
+}
+
+/// A connection's place among the others, for as long as it lives.
+pub(super) struct Seat {
+    clients: Rc<Clients>,
+    number: u64,
+    pub(super) standing: Rc<Standing>,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.clients.all.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Clients {
+    pub(super) fn new(limits: ServeLimits) -> Rc<Self> {
+        Rc::new(Self { limits, all: RefCell::default(), next: Cell::new(0) })
+    }
+
+    pub(super) fn open(&self) -> usize {
+        self.all.borrow().len()
+    }
+
+    /// Takes a new connection in; idle ones make room for it.
+    pub(super) async fn take(self: &Rc<Self>, stream: TcpStream) -> Place {
+        let full = self.make_room();
+        let most = self.limits.connections + self.limits.spare;
+        if self.open() >= most {
+            // What was just asked to close does so in its own task.
+            tokio::task::yield_now().await;
+        }
+        if self.open() >= most {
+            return Place::None;
+        }
+        let (number, standing) = (self.next.get(), Rc::new(Standing::new(Rc::new(stream))));
+        self.next.set(number + 1);
+        self.all.borrow_mut().insert(number, standing.clone());
+        let seat = Seat { clients: self.clone(), number, standing };
+        if full { Place::Turned(seat) } else { Place::Served(seat) }
+    }
+
+    /// Has the connection that is missed least closed where room is short. Whether there is none left.
+    fn make_room(&self) -> bool {
+        let all = self.all.borrow();
+        let staying = all.values().filter(|s| !s.leaving.get()).count();
+        let full = staying >= self.limits.connections;
+        if (staying as f64) < self.limits.connections as f64 * CROWDED {
+            return false;
+        }
+        let quiet = all.values().filter_map(|s| Some((s.quiet()?, s)));
+        let open = quiet.filter(|(quiet, s)| {
+            let old = *quiet >= self.limits.idle_least;
+            old || full && (*quiet >= YOUNG || s.is_used()) && !s.in_request()
+        });
+        // First what has had its time, then what never asked anything, then the longest idle.
+        let least = open.max_by_key(|(quiet, s)| (*quiet >= self.limits.idle_least, !s.is_used(), *quiet));
+        match least {
+            Some((_, standing)) => {
+                standing.ask_to_close();
+                false
+            }
+            None => full,
+        }
+    }
+
+    /// Has those closed that were quiet for too long.
+    pub(super) fn close_overdue(&self) {
+        for standing in self.all.borrow().values().filter(|s| s.is_overdue(&self.limits)) {
+            standing.ask_to_close();
+        }
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -18,6 +18,7 @@
 /// Pause after a failed call; a watch goes on only if it is renewed within 200 ms.
 const PAUSE: Duration = Duration::from_millis(50);
 const LIST_BYTES: usize = 4 << 20;
+const BUFFER: usize = 64 << 10;
 
 /// A running watch.
 pub struct Watch {
@@ -34,7 +35,7 @@
 impl Watch {
     /// A watch that begins with what is known and then asks for the whole list.
     pub fn new(address: &str, names: Names, known: Option<List>) -> Self {
-        let limits = PoolLimits { connections: 2, dial_timeout: GRACE, idle: WAIT };
+        let limits = PoolLimits { connections: 2, buffer: BUFFER, dial_timeout: GRACE, idle: WAIT };
         Self {
             address: Arc::from(address),
             names,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,14 +1,17 @@
 //! Sockets: connections to engines, discovery's watch, the server side, and signals.
 
+mod clients;
 mod discovery;
 mod engines;
+mod heads;
 mod pool;
 mod serve;
 mod signals;
 mod transport;
 
+pub use clients::ServeLimits;
 pub use discovery::Watch;
 pub use engines::{HttpEngines, HttpEvents, Job, Manner};
 pub use pool::{Pool, PoolLimits};
-pub use serve::{Front, FrontBody, Phase, ServeLimits, serve};
+pub use serve::{Front, FrontBody, Phase, serve};
 pub use signals::{reload_asked, stop_asked};
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -20,6 +20,8 @@
 pub struct PoolLimits {
     /// Connections to all engines together.
     pub connections: usize,
+    /// Most bytes of an answer's head, and of what is buffered for a connection.
+    pub buffer: usize,
     /// How long one may take to come up.
     pub dial_timeout: Duration,
     /// How long one may stand idle here; well under what the engines allow.
@@ -124,7 +126,7 @@
         stream.set_nodelay(true).map_err(|e| lost(e.to_string()))?;
         let (stream, meter) = (Rc::new(stream), Rc::<Meter>::default());
         let wire = Wire { stream: stream.clone(), meter: meter.clone() };
-        let made = http1::Builder::new().max_buf_size(64 << 10).handshake(TokioIo::new(wire)).await;
+        let made = http1::Builder::new().max_buf_size(self.limits.buffer).handshake(TokioIo::new(wire)).await;
         let (sender, connection) = made.map_err(|e| lost(e.to_string()))?;
         // Its error reaches the request in hand; without one nobody misses the connection.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,14 +1,17 @@
 //! The server side: connections of clients, bounded, each with a task of its own where panics stop.
 
+use super::clients::{Answering, Clients, Marked, Place, Seat, ServeLimits, Watched};
 use super::engines::HttpEvents;
+use super::heads::Framing;
+use super::transport::end_writing;
 use crate::gateway::{AttemptError, Relay};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -16,9 +19,19 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
 
 /// How long what was sent to a client may stay untaken.
 const UNREAD: Duration = Duration::from_secs(30);
+/// How often quiet connections are looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// How long a connection that was asked to close may take to write out what it has.
+const LAST_WORDS: Duration = Duration::from_millis(500);
+/// How long what a client still sends after its answer is read.
+const LINGER: Duration = Duration::from_millis(1500);
+/// What a client is told whose request does not come to its end.
+const REQUEST_TIMEOUT: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,23 +44,14 @@
     Closing,
 }
 
-/// Bounds on clients' connections.
-#[derive(Clone, Copy, Debug)]
-pub struct ServeLimits {
-    /// Connections served; those above are told to come back and closed.
-    pub connections: usize,
-    /// Connections above that, at most.
-    pub spare: usize,
-    /// How long a connection may stand without a whole head.
-    pub idle: Duration,
-}
-
 /// What answers requests.
 pub trait Front: 'static {
     /// Answers one request.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<FrontBody>>;
     /// Turns a request away because there are too many connections.
     fn too_many(&self) -> Response<FrontBody>;
+    /// Turns a request away whose head gives two lengths that contradict each other.
+    fn contradicting(&self) -> Response<FrontBody>;
 }
 
 /// The body of an answer.
@@ -86,14 +90,6 @@
     }
 }
 
-struct Open(Rc<Cell<usize>>);
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Serves until the stop has come to its close and every connection has ended.
 pub async fn serve<F: Front>(
     listener: TcpListener,
@@ -101,68 +97,129 @@
     limits: ServeLimits,
     mut phase: watch::Receiver<Phase>,
 ) {
-    let open = Rc::new(Cell::new(0usize));
+    let clients = Clients::new(limits);
+    let mut look = tokio::time::interval(LOOK_EVERY);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        if open.get() >= limits.connections + limits.spare {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-            continue;
-        }
         let closing = phase.clone();
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                open.set(open.get() + 1);
-                let counted = Open(open.clone());
-                let over = open.get() > limits.connections;
-                let front = front.clone();
-                tokio::task::spawn_local(async move {
-                    connection(stream, front, over, limits.idle, closing).await;
-                    drop(counted);
-                });
+            _ = look.tick() => {
+                clients.close_overdue();
+                continue;
             }
+        };
+        let (place, front) = match accepted {
+            Ok((stream, _)) => (clients.take(stream).await, front.clone()),
             Err(error) => {
                 log::warn!("accept failed {error}");
                 tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        match place {
+            Place::Served(seat) => {
+                tokio::task::spawn_local(connection(seat, front, false, limits, closing));
+            }
+            Place::Turned(seat) => {
+                tokio::task::spawn_local(connection(seat, front, true, limits, closing));
             }
+            Place::None => log::debug!("no room for a connection"),
         }
     }
     drop(listener);
-    while open.get() > 0 {
+    while clients.open() > 0 {
         tokio::time::sleep(Duration::from_millis(10)).await;
+        clients.close_overdue();
     }
 }
 
 async fn connection<F: Front>(
-    stream: TcpStream,
+    seat: Seat,
     front: Rc<F>,
     over: bool,
-    idle: Duration,
+    limits: ServeLimits,
     mut phase: watch::Receiver<Phase>,
 ) {
+    let standing = seat.standing.clone();
     // A client that has vanished, or reads no more, must not hold its connection and stream for good.
-    let set = stream.set_nodelay(true);
-    let set = set.and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD)));
+    let set = standing.stream.set_nodelay(true);
+    let set = set.and_then(|()| SockRef::from(&*standing.stream).set_tcp_user_timeout(Some(UNREAD)));
     if let Err(error) = set {
         log::debug!("connection {error}");
     }
-    let service = service_fn(move |request| {
-        let front = front.clone();
-        async move { Ok::<_, Infallible>(if over { front.too_many() } else { front.handle(request).await }) }
+    let service = service_fn(|request| {
+        let (front, framing) = (front.clone(), standing.next_framing());
+        let answering = Answering::new(standing.clone());
+        async move {
+            let mut response = match framing {
+                _ if over => front.too_many(),
+                Framing::Both => front.contradicting(),
+                Framing::Length | Framing::Chunks => front.handle(request).await,
+            };
+            if framing != Framing::Length {
+                // Where its body ends is not known here: nothing behind it is taken for a request.
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response.map(|body| Marked { body, _answering: answering }))
+        }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(idle).max_buf_size(64 << 10).keep_alive(!over);
-    let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let result = tokio::select! {
-        result = &mut served => result,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
-            served.as_mut().graceful_shutdown();
-            served.await
+    builder.timer(TokioTimer::new()).max_buf_size(limits.buffer).keep_alive(!over);
+    let io = TokioIo::new(Watched(standing.clone()));
+    let mut served = std::pin::pin!(builder.serve_connection(io, service));
+    let result = loop {
+        tokio::select! {
+            result = &mut served => break result,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+                served.as_mut().graceful_shutdown();
+                break served.await;
+            }
+            () = standing.asked_to_close() => {
+                if standing.in_request() {
+                    // Nothing is being answered, so nothing else is being written.
+                    drop(standing.stream.try_write(REQUEST_TIMEOUT));
+                    break Ok(());
+                }
+                if standing.has_news() {
+                    // A request or the client's own close crossed it.
+                    standing.stay();
+                    continue;
+                }
+                if !standing.is_used() {
+                    return;
+                }
+                served.as_mut().graceful_shutdown();
+                break tokio::time::timeout(LAST_WORDS, served.as_mut()).await.unwrap_or(Ok(()));
+            }
         }
     };
     if let Err(error) = result {
         log::debug!("connection ended {error}");
     }
+    standing.leave();
+    if standing.in_request() {
+        linger(&standing.stream, limits.buffer).await;
+    }
+}
+
+/// Reads on for a while what a client still sends, so that the answer that came before its end reaches it:
+/// closed with bytes unread, the connection would be reset and the answer with it.
+async fn linger(stream: &TcpStream, buffer: usize) {
+    if end_writing(stream).is_err() {
+        return;
+    }
+    let mut discarded = vec![0; buffer];
+    let drained = async {
+        while stream.readable().await.is_ok() {
+            match stream.try_read(&mut discarded) {
+                Ok(0) => return,
+                Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
+    };
+    // Whoever sends for longer has had its answer.
+    let _ = tokio::time::timeout(LINGER, drained).await;
 }
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -69,39 +69,60 @@
     }
 }
 
+/// Reads from a connection that is shared with those who look at it.
+pub(super) fn poll_read(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+) -> Poll<io::Result<()>> {
+    loop {
+        ready!(stream.poll_read_ready(context))?;
+        match stream.try_read(buffer.initialize_unfilled()) {
+            Ok(read) => {
+                buffer.advance(read);
+                return Poll::Ready(Ok(()));
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Poll::Ready(Err(error)),
+        }
+    }
+}
+
+/// Writes to such a connection.
+pub(super) fn poll_write(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    bytes: &[u8],
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(context))?;
+        match stream.try_write(bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
+    }
+}
+
+/// Ends this side's sending on such a connection.
+pub(super) fn end_writing(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).shutdown(Shutdown::Write)
+}
+
 impl AsyncRead for Wire {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
-                Ok(read) => {
-                    buffer.advance(read);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+        poll_read(&self.stream, context, buffer)
     }
 }
 
 impl AsyncWrite for Wire {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match self.stream.try_write(bytes) {
-                Ok(written) => {
-                    self.meter.count(&bytes[..written]);
-                    return Poll::Ready(Ok(written));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+        let written = ready!(poll_write(&self.stream, context, bytes))?;
+        self.meter.count(&bytes[..written]);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -109,7 +130,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+        Poll::Ready(end_writing(&self.stream))
     }
 }
 
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -291,9 +291,14 @@
 
 impl Daemon {
     pub async fn start(discovery: &Discovery, inference: Option<Value>) -> Self {
+        Self::within(json!({}), discovery, inference).await
+    }
+
+    /// A daemon that may hold no more than these limits.
+    pub async fn within(limits: Value, discovery: &Discovery, inference: Option<Value>) -> Self {
         let class = |name: &str, effect: &str| json!({"name": name, "objectiveMs": 4000, "hardLimitMs": 20000, "effect": effect});
         let config = json!({
-            "name": "n0", "listen": "", "discovery": discovery.address.to_string(), "seed": "5",
+            "name": "n0", "listen": "", "discovery": discovery.address.to_string(), "seed": "5", "limits": limits,
             "settings": {
                 "zones": ["a"], "kinds": ["reader", "writer"],
                 "categories": [class("lookup", "safe"), class("correction", "unsafe")],
