Move discovery's watch to the address that a reloaded configuration names

At fault: config/reload.rs kept only settings and refused the whole file if names differed; net/discovery.rs had one fixed address. Ruled out: the file (decodes) and the signal (heard).

Watch starts a source at the new address and ends the old one when the new one's whole list has come; an outage logs one line. Numbers keeps no uid that is no longer listed.

--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -6,6 +6,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// The state of an engine that is no longer listed.
+const GONE: &str = "DELETED";
+
 /// A list or a change of it, as discovery writes it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct List {
@@ -53,7 +56,8 @@
     names.iter().position(|known| known == name)
 }
 
-/// Gives engines their numbers: the same for a uid at every gateway, as long as no two clash.
+/// Gives engines their numbers: the same for a uid at every gateway, as long as no two clash. Those that
+/// are no longer listed are not kept: new ones come for as long as the gateway runs.
 #[derive(Debug, Default)]
 pub struct Numbers {
     taken: HashMap<u32, String>,
@@ -69,13 +73,17 @@
         self.taken.entry(number).or_insert_with(|| uid.to_owned());
         ServerId(number)
     }
+
+    fn keep(&mut self, which: impl Fn(&str) -> bool) {
+        self.taken.retain(|_, uid| which(uid));
+    }
 }
 
 impl Target {
     fn listed(&self, names: &Names, numbers: &mut Numbers) -> Option<Listed> {
         let condition = match self.state.as_str() {
             "SERVING" => Condition::Ready,
-            "DELETED" => Condition::Gone,
+            GONE => Condition::Gone,
             // A state that is not known wants nothing new either.
             _ => Condition::Draining,
         };
@@ -102,6 +110,8 @@
             form: if self.all { RosterForm::Full } else { RosterForm::Delta },
             engines: self.targets.iter().filter_map(|t| t.listed(names, numbers)).collect(),
         };
+        let told = |uid: &str| self.targets.iter().find(|t| t.uid == uid);
+        numbers.keep(|uid| told(uid).map_or(!self.all, |target| target.state != GONE));
         Change { revision: self.rev, news }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 use std::error::Error;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -84,7 +85,8 @@
             tuning.limits.keep_bytes = tuning.limits.bytes;
             let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false);
             let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
-            let roster = Watch::new(&pool.discovery, names, pool.known.clone());
+            let address = watch::Sender::new(Arc::from(pool.discovery.as_str())).subscribe();
+            let roster = Watch::new(address, names, pool.known.clone());
             let gateway = self.start(&pool.model, file.settings(pool), tuning, engines, roster)?;
             models.push(Model {
                 name: pool.model.clone(),
@@ -98,8 +100,8 @@
     }
 }
 
-/// Serves on the listener until `stop` is done and what is open has ended. Chat's settings follow
-/// `reload`.
+/// Serves on the listener until `stop` is done and what is open has ended. Chat's settings and discovery
+/// follow `reload`.
 pub async fn run(
     config: Config,
     inference: Option<config::Inference>,
@@ -117,7 +119,9 @@
     let (ended, mut drivers_end) = mpsc::channel(1);
     let drivers = Drivers { pool: pool.clone(), bounds, seed: config.seed, ended };
     let engines = HttpEngines::new(pool.clone(), config.load.clone(), true);
-    let roster = Watch::new(&config.discovery, config.names.clone(), config.known);
+    let fixed = || watch::Sender::new(Arc::from(config.discovery.as_str())).subscribe();
+    let address = reload.as_ref().map_or_else(fixed, config::Reload::discovery);
+    let roster = Watch::new(address, config.names.clone(), config.known);
     let classes = config.settings.classes.clone();
     let chat = drivers.start("chat", config.settings, tuning(&bounds), engines, roster)?;
     if let Some(reload) = reload {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,4 +1,5 @@
-//! Discovery's watch: each call waits for what is newer than the last answer.
+//! Discovery's watch: each call waits for what is newer than the last answer. It moves when it is told
+//! another address, and goes on at the old one until the new one has answered.
 
 use super::pool::{Channel, Pool, PoolLimits};
 use crate::config::{List, Names, Numbers};
@@ -10,9 +11,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
 
 /// How long a watch may wait for news.
-const WAIT: Duration = Duration::from_secs(20);
+const WAIT: Duration = Duration::from_secs(4);
 /// How much longer than it may wait an answer may take.
 const GRACE: Duration = Duration::from_secs(2);
 /// Pause after a failed call; a watch goes on only if it is renewed within 200 ms.
@@ -20,31 +23,18 @@
 const LIST_BYTES: usize = 4 << 20;
 const BUFFER: usize = 64 << 10;
 
-/// A running watch.
-pub struct Watch {
+/// A watch at one address.
+struct Source {
     address: Arc<str>,
-    names: Names,
-    numbers: Numbers,
     pool: Rc<Pool>,
     channel: Option<Channel>,
-    /// The list as the gateway held it last, until it is handed on.
-    known: Option<List>,
     revision: Option<u64>,
 }
 
-impl Watch {
-    /// A watch that begins with what is known and then asks for the whole list.
-    pub fn new(address: &str, names: Names, known: Option<List>) -> Self {
+impl Source {
+    fn new(address: Arc<str>) -> Self {
         let limits = PoolLimits { connections: 2, buffer: BUFFER, dial_timeout: GRACE, idle: WAIT };
-        Self {
-            address: Arc::from(address),
-            names,
-            numbers: Numbers::default(),
-            pool: Pool::new(limits),
-            channel: None,
-            known,
-            revision: None,
-        }
+        Self { address, pool: Pool::new(limits), channel: None, revision: None }
     }
 
     async fn ask(&mut self) -> Result<List, AttemptError> {
@@ -73,6 +63,80 @@
         self.channel = Some(channel);
         Ok(list)
     }
+    /// Hands on every answer that tells something, for as long as somebody listens.
+    async fn run(mut self, number: u64, lists: mpsc::Sender<(u64, List)>) {
+        let mut failures = 0u32;
+        loop {
+            match self.ask().await {
+                Ok(list) => {
+                    if std::mem::take(&mut failures) > 0 {
+                        log::info!("discovery answers again at={}", self.address);
+                    }
+                    // The first answer is the whole list also where it is empty.
+                    let tells =
+                        self.revision.replace(list.rev).is_none() || list.all || !list.targets.is_empty();
+                    if tells && lists.send((number, list)).await.is_err() {
+                        return;
+                    }
+                }
+                Err(error) => {
+                    // One line for each outage, not one for each call in it.
+                    if failures == 0 {
+                        log::warn!("discovery at={} {error}", self.address);
+                    }
+                    failures = failures.saturating_add(1);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// A watch at the address that was told last.
+pub struct Watch {
+    names: Names,
+    numbers: Numbers,
+    /// The list as the gateway held it last, until it is handed on.
+    known: Option<List>,
+    address: watch::Receiver<Arc<str>>,
+    /// Sources with their numbers; all but the newest end once that one has answered.
+    sources: Vec<(u64, AbortHandle)>,
+    begun: u64,
+    lists: mpsc::Receiver<(u64, List)>,
+    found: mpsc::Sender<(u64, List)>,
+}
+
+impl Watch {
+    /// A watch that begins with what is known and then asks for the whole list, at the address that is
+    /// told last.
+    pub fn new(address: watch::Receiver<Arc<str>>, names: Names, known: Option<List>) -> Self {
+        let (found, lists) = mpsc::channel(1);
+        let numbers = Numbers::default();
+        let mut watch = Self { names, numbers, known, address, sources: Vec::new(), begun: 0, lists, found };
+        watch.begin();
+        watch
+    }
+
+    /// Begins at the address that was told last.
+    fn begin(&mut self) {
+        self.begun += 1;
+        let source = Source::new(self.address.borrow_and_update().clone());
+        let task = tokio::task::spawn_local(source.run(self.begun, self.found.clone()));
+        self.sources.push((self.begun, task.abort_handle()));
+    }
+
+    /// Whether an answer of that source counts; if so those before it have had their time.
+    fn accept(&mut self, number: u64) -> bool {
+        let before = self.sources.iter().take_while(|(older, _)| *older < number).count();
+        self.sources.drain(..before).for_each(|(_, task)| task.abort());
+        self.sources.first().is_some_and(|(oldest, _)| *oldest == number)
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.sources.iter().for_each(|(_, task)| task.abort());
+    }
 }
 
 impl Changes for Watch {
@@ -82,16 +146,15 @@
             return Some(known.change(&self.names, &mut self.numbers));
         }
         loop {
-            match self.ask().await {
-                Ok(list) => {
-                    self.revision = Some(list.rev);
-                    if list.all || !list.targets.is_empty() {
+            tokio::select! {
+                Some((number, list)) = self.lists.recv() => {
+                    if self.accept(number) {
                         return Some(list.change(&self.names, &mut self.numbers));
                     }
                 }
-                Err(error) => {
-                    log::warn!("discovery {error}");
-                    tokio::time::sleep(PAUSE).await;
+                Ok(()) = self.address.changed() => {
+                    log::info!("discovery moves to={}", *self.address.borrow());
+                    self.begin();
                 }
             }
         }
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -1,7 +1,7 @@
 //! Stand-ins on loopback: engines of each kind, discovery, and a client; and the daemon between them.
 #![allow(dead_code)] // each test file uses its own part
 
-use meadowlug::config::{Config, Inference};
+use meadowlug::config::{Config, Inference, Reload};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
 
 pub const EVENTS: [&str; 3] = ["data: {\"a\":1}\n\n", "data: {\"b\":2}\n\n", "data: [DONE]\n\n"];
@@ -287,6 +287,9 @@
     pub address: SocketAddr,
     pub stop: Rc<Notify>,
     pub ended: tokio::task::JoinHandle<()>,
+    config: Value,
+    file: tempfile::NamedTempFile,
+    hangup: mpsc::Sender<()>,
 }
 
 impl Daemon {
@@ -307,7 +310,11 @@
                 "permissions": {"cancelling": true},
             },
         });
+        let told = config.clone();
         let config = Config::decode(config.to_string().as_bytes()).expect("a lawful configuration");
+        let file = tempfile::NamedTempFile::new().expect("a file");
+        let (hangup, asked) = mpsc::channel(1);
+        let reload = Reload::new(file.path().into(), &config, asked);
         let inference =
             inference.map(|file| Inference::decode(file.to_string().as_bytes()).expect("a lawful file"));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -319,10 +326,25 @@
                 asked.notified().await;
                 Ok(())
             };
-            meadowlug::daemon::run(config, inference, None, listener, stop).await.expect("a clean end");
+            meadowlug::daemon::run(config, inference, Some(reload), listener, stop)
+                .await
+                .expect("a clean end");
         });
         until("ready", async || ask(address, "GET", "/ready", &[], "").await.status == 200).await;
-        Self { address, stop, ended }
+        Self { address, stop, ended, config: told, file, hangup }
+    }
+
+    /// Has the daemon read a configuration again that names another address for discovery.
+    pub async fn move_discovery(&self, to: SocketAddr) {
+        let mut config = self.config.clone();
+        config["discovery"] = json!(to.to_string());
+        self.reread(&config.to_string()).await;
+    }
+
+    /// Has the daemon read its configuration again.
+    pub async fn reread(&self, text: &str) {
+        std::fs::write(self.file.path(), text).expect("it can be written");
+        self.hangup.send(()).await.expect("it listens");
     }
 }
 
