Check engines' streams event by event, and let a cancelled read close before a refusal

Ruled out: the meter (no break before the last byte was in the log), the roster (the server was a reader throughout).

A cancelled attempt is over 10 ms after its abort. Engine connections rest 10 ms after an answer, so that a second one is seen and not given to the next request; unreadable header lines are left out. The book and the module keep no engine that is gone.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -293,6 +293,10 @@
         self.kept.retain(|_, kept| now < kept.1 + KEPT);
         let open = |r: &Request| r.phase != Phase::Ended || r.attempts.iter().any(|a| a.out);
         self.requests.retain(|_, r| open(r));
+        // Replaced servers have new ids: what is gone and has nothing out is never asked for again.
+        let attempts = || self.requests.values().flat_map(|r| &r.attempts);
+        let gone = |s: &Server| s.entry.condition == Condition::Gone;
+        self.servers.retain(|id, s| !gone(s) || attempts().any(|a| a.server == *id));
         if !self.ticking && !self.requests.is_empty() {
             self.ticking = true;
             self.actions.push(Action::Timer { token: 0, after: TICK });
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -83,7 +83,8 @@
             tuning.limits.keep = file.keep_answers();
             tuning.limits.bytes = self.bounds.model_bytes / 2 / file.pools.len();
             tuning.limits.keep_bytes = tuning.limits.bytes;
-            let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false);
+            let most = self.bounds.answer_bytes;
+            let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false, most);
             let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
             let address = watch::Sender::new(Arc::from(pool.discovery.as_str())).subscribe();
             let roster = Watch::new(address, names, pool.known.clone());
@@ -118,7 +119,7 @@
     });
     let (ended, mut drivers_end) = mpsc::channel(1);
     let drivers = Drivers { pool: pool.clone(), bounds, seed: config.seed, ended };
-    let engines = HttpEngines::new(pool.clone(), config.load.clone(), true);
+    let engines = HttpEngines::new(pool.clone(), config.load.clone(), true, bounds.answer_bytes);
     let fixed = || watch::Sender::new(Arc::from(config.discovery.as_str())).subscribe();
     let address = reload.as_ref().map_or_else(fixed, config::Reload::discovery);
     let roster = Watch::new(address, config.names.clone(), config.known);
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -44,6 +44,12 @@
         self.heard.borrow_mut().insert(server, now);
     }
 
+    /// Forgets the engines that are no longer listed: new ones come for as long as the gateway runs.
+    pub(super) fn forget_unlisted(&self) {
+        let roster = &self.roster;
+        self.heard.borrow_mut().retain(|server, _| roster.entry(*server).is_some());
+    }
+
     /// Answers all who wait. Only the first can have a running answer.
     pub(super) fn answer(&self, callers: Vec<Caller<E::Events>>, answer: Answer<E::Events>) {
         let mut counts = self.counts.borrow_mut();
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -28,6 +28,8 @@
     pub release_patience: Duration,
     /// How long after a broken read its state is let go, so that the call comes after the break.
     pub release_delay: Duration,
+    /// How long an attempt that was given up still counts as out, until its connection has closed.
+    pub closing: Duration,
     /// How often counts are logged.
     pub report_every: Duration,
 }
@@ -44,6 +46,7 @@
             silence: Duration::from_secs(4),
             release_patience: Duration::from_millis(100),
             release_delay: Duration::from_millis(40),
+            closing: Duration::from_millis(10),
             report_every: Duration::from_secs(10),
         }
     }
@@ -55,6 +58,7 @@
     Gone { id: RequestId, caller: u64 },
     Begun { id: RequestId, attempt: u32, result: Result<Begun<E::Events>, AttemptError> },
     Ended { id: RequestId, attempt: u32, end: End },
+    Closed { id: RequestId, attempt: u32 },
     Changed(Change),
 }
 
@@ -256,6 +260,9 @@
             Input::Gone { id, caller } => self.take_gone(id, caller),
             Input::Begun { id, attempt, result } => self.take_begun(id, attempt, result),
             Input::Ended { id, attempt, end } => self.take_ended(id, attempt, &end),
+            Input::Closed { id, attempt } => {
+                self.attempt_over(id, attempt, Status::Cancelled, 0.0, Load::default());
+            }
             Input::Changed(change) => self.take_change(change),
         }
     }
@@ -375,6 +382,7 @@
                 for endpoint in self.roster.apply(form, &engines) {
                     self.engines.forget(&endpoint);
                 }
+                self.book.forget_unlisted();
                 let entries = engines.into_iter().map(|listed| listed.entry).collect();
                 self.route.tell(Event::Roster { form, entries });
             }
@@ -410,6 +418,7 @@
             Answer::Failed { .. } => !open.harmless,
             Answer::Events(_) | Answer::Refused { .. } => false,
         };
+        log::debug!("answer request={} {answer:?} attempts={}", id.0, open.attempts.len());
         let callers = self.admission.borrow_mut().answered(&id, &answer, keep);
         self.book.answer(callers, answer);
         self.touched.push(id);
@@ -441,6 +450,8 @@
         }
     }
 
+    /// Gives an attempt up by closing its connection. It is over once the engine can have seen that: told
+    /// at once, a refusal could reach the client while the attempt still counted as out.
     fn cancel(&mut self, id: RequestId, attempt: u32) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(Attempt { out: Out::Sent(task), reading, .. }) = open.attempts.get(attempt as usize) else {
@@ -448,7 +459,13 @@
         };
         task.abort();
         open.broken_read |= *reading;
-        self.attempt_over(id, attempt, Status::Cancelled, 0.0, Load::default());
+        open.attempts[attempt as usize].out = Out::Untasked;
+        let (inbox, pause) = (self.sender.clone(), self.tuning.closing);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(pause).await;
+            // A driver that has stopped needs no word of it.
+            let _ = inbox.send(Input::Closed { id, attempt });
+        });
     }
 
     /// Lets go of what is held, at the end of a turn. Where the request has been sent again in the same
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -165,6 +165,18 @@
     },
 }
 
+impl<S: EventStream> fmt::Debug for Answer<S> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Events(_) => f.write_str("events"),
+            Self::Whole(_) => f.write_str("whole"),
+            Self::Faulty(_) => f.write_str("faulty"),
+            Self::Refused { retry_after } => write!(f, "refused retry_after={retry_after}"),
+            Self::Failed { timed_out } => write!(f, "failed timed_out={timed_out}"),
+        }
+    }
+}
+
 impl<S: EventStream> Answer<S> {
     /// The same answer for another caller.
     fn again(&self) -> Self {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,17 +3,18 @@
 
 use super::heads::{Framing, Heads};
 use super::transport::{self, is_stale};
-use hyper::body::Body;
+use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Sleep;
 
 /// Bounds on clients' connections.
 #[derive(Clone, Copy, Debug)]
@@ -39,6 +40,9 @@
 /// A connection younger than this may have its first request under way.
 const YOUNG: Duration = Duration::from_millis(50);
 
+/// How long what was handed on may take to be written out before a break ends the connection.
+const WRITE_OUT: Duration = Duration::from_millis(20);
+
 /// One connection.
 pub(super) struct Standing {
     pub(super) stream: Rc<TcpStream>,
@@ -155,27 +159,52 @@
 }
 
 /// An answer's body, with which the request's time on the connection ends.
-pub(super) struct Marked<B> {
-    pub(super) body: B,
-    pub(super) _answering: Answering,
+pub(super) struct Marked<B: Body> {
+    body: B,
+    /// A break that is still to be told, and when.
+    broken: Option<(B::Error, Pin<Box<Sleep>>)>,
+    _answering: Answering,
+}
+
+impl<B: Body> Marked<B> {
+    pub(super) fn new(body: B, answering: Answering) -> Self {
+        Self { body, broken: None, _answering: answering }
+    }
 }
 
-impl<B: Body + Unpin> Body for Marked<B> {
+impl<B: Body + Unpin> Body for Marked<B>
+where
+    B::Error: Unpin,
+{
     type Data = B::Data;
     type Error = B::Error;
 
+    /// A break is told a little late: the connection is dropped on it with all that was not written out, and
+    /// what was handed on just before, the head included, would never reach the client.
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<hyper::body::Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        let marked = self.get_mut();
+        if marked.broken.is_none() {
+            match ready!(Pin::new(&mut marked.body).poll_frame(context)) {
+                Some(Err(error)) => {
+                    marked.broken = Some((error, Box::pin(tokio::time::sleep(WRITE_OUT))));
+                }
+                frame => return Poll::Ready(frame),
+            }
+        }
+        if let Some((_, due)) = &mut marked.broken {
+            ready!(due.as_mut().poll(context));
+        }
+        Poll::Ready(marked.broken.take().map(|(error, _)| Err(error)))
     }
 
     fn is_end_stream(&self) -> bool {
         self.body.is_end_stream()
     }
 
-    fn size_hint(&self) -> hyper::body::SizeHint {
+    fn size_hint(&self) -> SizeHint {
         self.body.size_hint()
     }
 }
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -1,5 +1,6 @@
 //! Engines over HTTP/1.1: attempts, their answers, and releases.
 
+use super::events::Events;
 use super::pool::{Channel, Pool};
 use crate::config::LoadNames;
 use crate::gateway::{AttemptError, Call, Engines, EventStream, Progress, Replied, Reply};
@@ -14,8 +15,8 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-/// Most bytes of an answer that is read whole.
-const ANSWER_BYTES: usize = 4 << 20;
+/// Most bytes of an answer that says no more than a status does.
+const SHORT_BYTES: usize = 64 << 10;
 
 /// How a request is worked on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,12 +49,15 @@
     load: LoadNames,
     /// Whether engines hold state that must be let go.
     stateful: bool,
+    /// Most bytes of one answer.
+    answer_bytes: usize,
 }
 
 impl HttpEngines {
-    /// Engines that hold state between the stages of a request, or not.
-    pub fn new(pool: Rc<Pool>, load: LoadNames, stateful: bool) -> Self {
-        Self { pool, load, stateful }
+    /// Engines that hold state between the stages of a request, or not, with answers of so many bytes at
+    /// most.
+    pub fn new(pool: Rc<Pool>, load: LoadNames, stateful: bool, answer_bytes: usize) -> Self {
+        Self { pool, load, stateful, answer_bytes }
     }
 }
 
@@ -86,8 +90,8 @@
 }
 
 /// Reads an answer whole.
-async fn whole(channel: &Channel, body: Incoming) -> Result<Bytes, AttemptError> {
-    let read = Limited::new(body, ANSWER_BYTES).collect().await;
+async fn whole(channel: &Channel, body: Incoming, most: usize) -> Result<Bytes, AttemptError> {
+    let read = Limited::new(body, most).collect().await;
     let lost = |e: Box<dyn std::error::Error + Send + Sync>| match e.downcast::<hyper::Error>() {
         Ok(error) => channel.lost(*error),
         Err(error) => AttemptError::new(Progress::Written, error),
@@ -136,7 +140,7 @@
         &self,
         call: Call<Job>,
     ) -> impl Future<Output = Result<Replied<HttpEvents>, AttemptError>> + 'static {
-        let (pool, names) = (self.pool.clone(), self.load.clone());
+        let (pool, names, most) = (self.pool.clone(), self.load.clone(), self.answer_bytes);
         async move {
             let request = call_request(&call)?;
             let mut channel = pool.take(&call.endpoint).await?;
@@ -148,10 +152,12 @@
             let (head, body) = answer.into_parts();
             let load = head.headers.get("srv-load").map_or(Load::default(), |l| names.read(l.as_bytes()));
             if call.job.manner == Manner::Staged && head.status == StatusCode::OK {
-                let events = HttpEvents { body, line: Some((pool, call.endpoint, channel)) };
+                let (events, line) = (Events::new(most), Some((pool, call.endpoint, channel)));
+                let events = HttpEvents { body: Some(body), events, line };
                 return Ok(Replied { reply: Reply::Events(events), load });
             }
-            let body = whole(&channel, body).await?;
+            let most = if call.job.manner == Manner::Staged { SHORT_BYTES } else { most };
+            let body = whole(&channel, body, most).await?;
             pool.put(call.endpoint, channel);
             Ok(Replied { reply: meaning(call.job.manner, head.status, declined(&head.headers), body), load })
         }
@@ -171,7 +177,7 @@
             let mut channel = pool.take(&endpoint).await?;
             let answer = channel.send(request, 0).await?;
             let status = answer.status();
-            whole(&channel, answer.into_body()).await?;
+            whole(&channel, answer.into_body(), SHORT_BYTES).await?;
             pool.put(endpoint, channel);
             let refused = || AttemptError::new(Progress::Written, format!("status {status}"));
             status.is_success().then_some(()).ok_or_else(refused)
@@ -185,32 +191,41 @@
 
 /// The events of a running answer.
 pub struct HttpEvents {
-    body: Incoming,
+    /// What is still to come, until its end.
+    body: Option<Incoming>,
+    events: Events,
     /// The connection, until the answer has ended.
     line: Option<(Rc<Pool>, Arc<str>, Channel)>,
 }
 
+impl HttpEvents {
+    /// Closes the connection: it can serve no other request.
+    fn spoilt(&mut self, cause: impl std::fmt::Display) -> AttemptError {
+        (self.body, self.line) = (None, None);
+        AttemptError::new(Progress::Written, cause)
+    }
+}
+
 impl EventStream for HttpEvents {
     fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>> {
-        loop {
-            let frame = std::task::ready!(Pin::new(&mut self.body).poll_frame(context));
-            match frame {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Poll::Ready(Some(Ok(data)));
-                    }
-                }
-                Some(Err(error)) => {
-                    self.line = None;
-                    return Poll::Ready(Some(Err(AttemptError::new(Progress::Written, error))));
-                }
+        while let Some(body) = &mut self.body {
+            let came = match std::task::ready!(Pin::new(body).poll_frame(context)) {
+                Some(Ok(frame)) => self.events.push(frame.data_ref().map_or(&[], |data| data)),
+                Some(Err(error)) => return Poll::Ready(Some(Err(self.spoilt(error)))),
                 None => {
-                    if let Some((pool, endpoint, channel)) = self.line.take() {
-                        pool.put(endpoint, channel);
-                    }
-                    return Poll::Ready(None);
+                    self.body = None;
+                    self.events.end()
                 }
+            };
+            match came {
+                Ok(None) => {}
+                Ok(Some(events)) => return Poll::Ready(Some(Ok(events))),
+                Err(cause) => return Poll::Ready(Some(Err(self.spoilt(cause)))),
             }
         }
+        if let Some((pool, endpoint, channel)) = self.line.take() {
+            pool.put(endpoint, channel);
+        }
+        Poll::Ready(None)
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod discovery;
 mod engines;
+mod events;
 mod heads;
 mod pool;
 mod serve;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -28,6 +28,9 @@
     pub idle: Duration,
 }
 
+/// How long a connection rests after an answer: what comes behind that unasked must not pass for the next.
+const REST: Duration = Duration::from_millis(10);
+
 /// Counts a connection for as long as it lives.
 struct Counted(Rc<Cell<usize>>);
 
@@ -107,7 +110,10 @@
     }
 
     fn pop(&self, endpoint: &str) -> Option<Idle> {
-        self.idle.borrow_mut().get_mut(endpoint)?.pop()
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(endpoint)?;
+        let rested = connections.iter().rposition(|idle| idle.since.elapsed() >= REST)?;
+        Some(connections.remove(rested))
     }
 
     fn close_one_idle(&self) {
@@ -126,7 +132,10 @@
         stream.set_nodelay(true).map_err(|e| lost(e.to_string()))?;
         let (stream, meter) = (Rc::new(stream), Rc::<Meter>::default());
         let wire = Wire { stream: stream.clone(), meter: meter.clone() };
-        let made = http1::Builder::new().max_buf_size(self.limits.buffer).handshake(TokioIo::new(wire)).await;
+        let mut builder = http1::Builder::new();
+        // A field that cannot be read says nothing against the answer that it came with.
+        builder.max_buf_size(self.limits.buffer).ignore_invalid_headers_in_responses(true);
+        let made = builder.handshake(TokioIo::new(wire)).await;
         let (sender, connection) = made.map_err(|e| lost(e.to_string()))?;
         // Its error reaches the request in hand; without one nobody misses the connection.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -162,7 +162,7 @@
                 // Where its body ends is not known here: nothing behind it is taken for a request.
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response.map(|body| Marked { body, _answering: answering }))
+            Ok::<_, Infallible>(response.map(|body| Marked::new(body, answering)))
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -36,6 +36,8 @@
     Faults,
     /// Answers with a list that lacks entries.
     Short,
+    /// Sends these bytes once and keeps the connection open; is well from then on.
+    SaysOnce(&'static str),
 }
 
 /// A request as it was seen.
@@ -108,11 +110,13 @@
 ) {
     while let Some(request) = message(&mut stream).await {
         seen.borrow_mut().push(request.clone());
-        let mode = if mode.get() == Mode::CutOnce { mode.replace(Mode::Well) } else { mode.get() };
+        let once = matches!(mode.get(), Mode::CutOnce | Mode::SaysOnce(_)) && request.method == "POST";
+        let mode = if once { mode.replace(Mode::Well) } else { mode.get() };
         if let Mode::Slow(ms) = mode {
             tokio::time::sleep(Duration::from_millis(ms)).await;
         }
         let answer = match mode {
+            Mode::SaysOnce(bytes) => bytes.to_owned(),
             Mode::Silent => return std::future::pending().await,
             Mode::Declines => "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
             Mode::Faults => "HTTP/1.1 400 Bad\r\nContent-Length: 2\r\n\r\n{}".to_owned(),
