Take clients back for the rest of a stream, and hand streams over at a planned stop

At fault: choice.rs take_request counted those who come back as new traffic of their tenant (the leaking bucket holds one second of its rate) and release_queued left them out by lot, since Arrival did not say that they come back; daemon.rs let streams run until it was killed. Ruled out: admission bounds (open 61 of 370) and writers' room (shares under 0.5).

At a stop, where the settings have clients ask for the rest, streams are ended from 1.7 to 3.0 s after the signal, the youngest first; requests are taken for 1.4 s and answered 0.3 s before the kill can come, all derived from the longest deadline. The core's clock is tokio's, so that tests can pause it.

--- a/src/bin/meadowlug-benchlink/wire.rs
+++ b/src/bin/meadowlug-benchlink/wire.rs
@@ -164,6 +164,7 @@
             max_output_tokens: line.number("outputCap")?.unwrap_or(0.0).max(0.0),
             hint: line.time("predictedMs")?,
             expires_in: line.time("expiresInMs")?.ok_or_else(|| line.malformed("expiresInMs", "missing"))?,
+            resumed: line.flag("reconnect")?,
         }),
         "STREAMING" => Event::First { id: line.request()?, attempt: line.required("n")? },
         "DONE" => Event::Outcome(Outcome {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -324,7 +324,8 @@
             came: self.now,
             aim: self.now + aim,
             hopeless: self.now + ask.expires_in.min(deadline),
-            over_share: self.over_share(ask.tenant),
+            // What was counted at its first try is not counted again: a break brings many back at once.
+            over_share: !ask.resumed && self.over_share(ask.tenant),
             phase: Phase::Queued,
             attempts: Vec::new(),
             ask: ask.clone(),
@@ -762,7 +763,8 @@
             let ready_at = self.now + micros(reads.reduce(f64::min).unwrap_or(0.0) + self.start_s);
             // Late ones behind those still in time: an aim that is missed cannot be missed again.
             let late = ready_at > request.aim;
-            let left_out = draw(request.session_lot) > self.admits && request.attempts.is_empty();
+            let new = request.attempts.is_empty() && !request.ask.resumed;
+            let left_out = new && draw(request.session_lot) > self.admits;
             if left_out || ready_at > request.hopeless {
                 self.give_up(&id);
                 continue;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -131,6 +131,7 @@
     let_go_ms: Option<f64>,
     #[serde(rename = "readInPlace")]
     writers_read: bool,
+    resume: bool,
     #[serde(rename = "reportX0")]
     x0: String,
     #[serde(rename = "reportX1")]
@@ -187,6 +188,8 @@
     pub dial_timeout: Duration,
     /// When engines close an idle connection.
     pub idle_limit: Duration,
+    /// Whether clients ask for the rest of an answer that broke.
+    pub resume: bool,
 }
 
 fn micros(ms: f64) -> Micros {
@@ -220,6 +223,7 @@
             },
             dial_timeout: Duration::from_micros(span(told.permissions.dial_timeout_ms, 250_000)),
             idle_limit: Duration::from_micros(span(told.permissions.conn_idle_ms, 15_000_000)),
+            resume: told.extra.resume,
             settings: settings(told)?,
             names,
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or(0),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::config::{self, Bounds, Config};
 use crate::front::{Bodies, Fronts, Inference, Model, Platform};
-use crate::gateway::{self, Changes, Gateway, News, Tuning};
+use crate::gateway::{self, Changes, Departure, Gateway, News, Tuning};
 use crate::interface::Settings;
 use crate::net::{self, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
 use std::error::Error;
@@ -12,9 +12,20 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
-/// How long after the signal new connections and requests are still taken.
+/// A program that was asked to stop is killed no sooner than after its longest deadline, counted as this
+/// where it is longer, and a little more.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+/// How long before that the last answer is given.
+const ANSWERED_BEFORE: Duration = Duration::from_millis(300);
+/// For how long new connections and requests are still taken, in any case and as a part of the longest
+/// deadline: another gateway may be restarting just then.
 const LEAVING: Duration = Duration::from_millis(500);
+const LEAVING_PART: f64 = 0.3;
+/// When running answers are handed over, as parts of the time until the end: first and last.
+const HAND_OVER: (f64, f64) = (0.46, 0.81);
 /// What is let go after the last answer still has to reach an engine.
 const LAST_RELEASES: Duration = Duration::from_millis(300);
 /// How often idle connections are looked at.
@@ -124,6 +135,8 @@
     let address = reload.as_ref().map_or_else(fixed, config::Reload::discovery);
     let roster = Watch::new(address, config.names.clone(), config.known);
     let classes = config.settings.classes.clone();
+    let longest = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let longest = Duration::from_micros(longest);
     let chat = drivers.start("chat", config.settings, tuning(&bounds), engines, roster)?;
     if let Some(reload) = reload {
         tokio::task::spawn_local(follow(reload, chat.clone()));
@@ -160,7 +173,14 @@
     }
     log::info!("stopping open={}", chat.open());
     phase.send_replace(Phase::Leaving);
-    tokio::time::sleep(LEAVING).await;
+    let counted = longest.min(LONGEST_COUNTED);
+    let (asked, end) = (Instant::now(), counted + KILLED_AFTER);
+    let (first, last) = (end.mul_f64(HAND_OVER.0), end.mul_f64(HAND_OVER.1));
+    chat.leave(Departure {
+        answers_by: asked + end - ANSWERED_BEFORE,
+        hand_over: config.resume.then_some((asked + first, last - first)),
+    });
+    tokio::time::sleep(LEAVING + counted.mul_f64(LEAVING_PART)).await;
     phase.send_replace(Phase::Closing);
     served.await?;
     tokio::time::sleep(LAST_RELEASES).await;
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -88,6 +88,7 @@
         hint: header(headers, "req-cost")?.and_then(|hint| hint.parse::<f64>().ok()).map(|h| h as Micros),
         prompt_tokens: body as f64 / TOKEN_CHARS as f64,
         expires_in,
+        resumed: header(headers, "req-retry")? == Some("again"),
         ..Arrival::default()
     };
     for part in header(headers, "req-extra")?.unwrap_or("").split(',').filter(|part| !part.is_empty()) {
@@ -130,12 +131,19 @@
     #[test]
     fn headers_tell_what_the_module_needs() {
         let extra = "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800,new=1";
-        let all = [("req-key", "s"), ("req-deadline", "4800m"), ("req-cost", "900"), ("req-extra", extra)];
+        let all = [
+            ("req-key", "s"),
+            ("req-deadline", "4800m"),
+            ("req-cost", "900"),
+            ("req-extra", extra),
+            ("req-retry", "again"),
+        ];
         let arrival = told(&all).expect("lawful");
         assert_eq!((arrival.class, arrival.tenant, arrival.expires_in), (1, 0, 4_800_000));
         assert_eq!((arrival.session.as_deref(), arrival.prefix.as_deref()), (Some("s"), Some("5c0f")));
         assert_eq!((arrival.prompt_tokens, arrival.prefix_tokens), (5120.0, 2048.0));
         assert_eq!((arrival.max_output_tokens, arrival.hint), (800.0, Some(900)));
+        assert!(arrival.resumed && !told(&[("req-retry", "1")]).expect("lawful").resumed);
         let bare = told(&[]).expect("lawful");
         assert_eq!(
             (bare.expires_in, bare.prompt_tokens),
--- a/src/front/reply.rs
+++ b/src/front/reply.rs
@@ -67,7 +67,7 @@
 pub(super) fn respond(answer: Answer<HttpEvents>) -> Response<FrontBody> {
     match answer {
         Answer::Events(relay) => {
-            let mut response = Response::new(FrontBody::Relay(relay));
+            let mut response = Response::new(FrontBody::Relay(Box::new(relay)));
             let kind = HeaderValue::from_static("text/event-stream");
             response.headers_mut().insert(CONTENT_TYPE, kind);
             response
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -19,6 +19,7 @@
     faulty: u64,
     abandoned: u64,
     broken: u64,
+    handed_over: u64,
     unreleased: u64,
 }
 
@@ -74,6 +75,7 @@
         match end {
             End::Whole => counts.served += 1,
             End::ClientGone => counts.abandoned += 1,
+            End::HandedOver => counts.handed_over += 1,
             End::Broke(error) => {
                 counts.broken += 1;
                 log::warn!("stream broken request={} {error}", id.0);
@@ -123,7 +125,7 @@
     pub(super) fn report(&self, open: usize) {
         let c = std::mem::take(&mut *self.counts.borrow_mut());
         log::info!(
-            "counts driver={} open={open} served={} refused={} failed={} faulty={} abandoned={} broken={} unreleased={}",
+            "counts driver={} open={open} served={} refused={} failed={} faulty={} abandoned={} broken={} handed_over={} unreleased={}",
             self.name,
             c.served,
             c.refused,
@@ -131,6 +133,7 @@
             c.faulty,
             c.abandoned,
             c.broken,
+            c.handed_over,
             c.unreleased
         );
     }
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -1,7 +1,8 @@
 //! The clock that the decision module is told: Unix time at the start, then monotonic.
 
 use crate::interface::Micros;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
 
 /// Microseconds of Unix time that never go back.
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -2,7 +2,7 @@
 
 use super::admit::{Admission, Admitted};
 use super::book::Book;
-use super::relay::{End, Relay};
+use super::relay::{Departure, End, Leaving, Relay};
 use super::roster::Roster;
 use super::route::Route;
 use super::send::{self, Begun};
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// Figures of the core that are not the module's.
 #[derive(Clone, Copy, Debug)]
@@ -69,6 +70,7 @@
     roster: Rc<Roster>,
     roles: Rc<[Role]>,
     callers: Rc<Cell<u64>>,
+    leaving: Leaving,
 }
 
 impl<E: Engines> Clone for Gateway<E> {
@@ -79,6 +81,7 @@
             roster: self.roster.clone(),
             roles: self.roles.clone(),
             callers: self.callers.clone(),
+            leaving: self.leaving.clone(),
         }
     }
 }
@@ -86,7 +89,11 @@
 impl<E: Engines> Gateway<E> {
     /// Takes a request; its answer is waited for on the ticket.
     pub fn submit(&self, submission: Submission<E::Job>) -> Result<Ticket<E>, Rejected> {
-        let Submission { arrival, job, size, key } = submission;
+        let Submission { mut arrival, job, size, key } = submission;
+        if let Some(departure) = self.leaving.get() {
+            let left = departure.answers_by.saturating_duration_since(Instant::now());
+            arrival.expires_in = arrival.expires_in.min(left.as_micros() as Micros);
+        }
         let id = arrival.id.clone();
         let (answer, ticket) = oneshot::channel();
         let number = self.callers.get();
@@ -104,6 +111,11 @@
         Ok(Ticket::new(waits_for, number, ticket, self.inbox.clone()))
     }
 
+    /// The gateway stops: what comes from now on is answered in time, and running answers are handed over.
+    pub fn leave(&self, departure: Departure) {
+        self.leaving.set(Some(departure));
+    }
+
     /// Hands the driver news of its settings or roster.
     pub fn tell(&self, change: Change) -> Result<(), Rejected> {
         self.inbox.send(Input::Changed(change)).map_err(|_| Rejected::Stopped)
@@ -180,6 +192,7 @@
     admission: Rc<RefCell<Admission<E::Events>>>,
     inbox: mpsc::UnboundedReceiver<Input<E>>,
     sender: mpsc::UnboundedSender<Input<E>>,
+    leaving: Leaving,
     open: HashMap<RequestId, Open<E>>,
     /// Requests of which something is to be let go at the end of this turn.
     releases: Vec<RequestId>,
@@ -212,11 +225,13 @@
         admission: admission.clone(),
         inbox,
         sender: sender.clone(),
+        leaving: Leaving::default(),
         open: HashMap::new(),
         releases: Vec::new(),
         touched: Vec::new(),
     };
-    let gateway = Gateway { inbox: sender, admission, roster, roles, callers: Rc::default() };
+    let leaving = driver.leaving.clone();
+    let gateway = Gateway { inbox: sender, admission, roster, roles, callers: Rc::default(), leaving };
     let task = tokio::task::spawn_local(async move { driver.run().await });
     Ok((gateway, task))
 }
@@ -319,7 +334,8 @@
                 let (inbox, to) = (self.sender.clone(), id.clone());
                 // A driver that has stopped needs no word of the end.
                 let report = move |end| drop(inbox.send(Input::Ended { id: to, attempt, end }));
-                let relay = Relay::new(first, events, self.tuning.silence, Box::new(report));
+                let (silence, leaving) = (self.tuning.silence, self.leaving.clone());
+                let relay = Relay::new(first, events, silence, leaving, Box::new(report));
                 self.route.tell(Event::First { id: id.clone(), attempt });
                 return self.answer(id, Answer::Events(relay));
             }
@@ -353,6 +369,7 @@
         let status = match end {
             End::Whole => Status::Served,
             End::Broke(_) => Status::Reset,
+            End::HandedOver => Status::Cancelled,
             End::ClientGone => {
                 self.route.tell(Event::Abandoned { id: id.clone() });
                 Status::Cancelled
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,7 +17,7 @@
 pub use admit::{Key, Limits};
 pub use clock::Clock;
 pub use driver::{Gateway, Tuning, start};
-pub use relay::Relay;
+pub use relay::{Departure, Relay};
 pub use roster::{Change, Changes, Gate, Listed, News};
 pub use take_in::{Rejected, Submission, Ticket};
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,8 +2,10 @@
 
 use super::{AttemptError, EventStream, Progress};
 use bytes::Bytes;
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
@@ -17,8 +19,35 @@
     Broke(AttemptError),
     /// The client went away.
     ClientGone,
+    /// The gateway stops, and its client asks another for the rest.
+    HandedOver,
 }
 
+/// How the core leaves when the gateway is asked to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Departure {
+    /// By when every request has its final answer.
+    pub answers_by: Instant,
+    /// From when on and within what span running answers are ended, where clients ask for the rest: those
+    /// that began last first, since the others are nearer to their own end.
+    pub hand_over: Option<(Instant, Duration)>,
+}
+
+/// Age from which an answer is given all of the span in which to end by itself.
+const OLD: Duration = Duration::from_secs(10);
+
+impl Departure {
+    /// When an answer that began then is handed over.
+    fn due(&self, begun: Instant) -> Option<Instant> {
+        let (from, span) = self.hand_over?;
+        let age = from.saturating_duration_since(begun);
+        Some(from + span.mul_f64((age.as_secs_f64() / OLD.as_secs_f64()).min(1.0)))
+    }
+}
+
+/// The departure, once it has been asked for.
+pub(super) type Leaving = Rc<Cell<Option<Departure>>>;
+
 type Report = Box<dyn FnOnce(End)>;
 
 /// A running answer; dropping it before its end closes the engine's connection.
@@ -27,13 +56,22 @@
     events: Option<S>,
     silence: Duration,
     quiet: Pin<Box<Sleep>>,
+    begun: Instant,
+    leaving: Leaving,
     report: Option<Report>,
 }
 
 impl<S: EventStream> Relay<S> {
-    pub(super) fn new(first: Option<Bytes>, events: S, silence: Duration, report: Report) -> Self {
+    pub(super) fn new(
+        first: Option<Bytes>,
+        events: S,
+        silence: Duration,
+        leaving: Leaving,
+        report: Report,
+    ) -> Self {
         let quiet = Box::pin(tokio::time::sleep(silence));
-        Self { first, events: Some(events), silence, quiet, report: Some(report) }
+        let (begun, report) = (Instant::now(), Some(report));
+        Self { first, events: Some(events), silence, quiet, begun, leaving, report }
     }
 
     fn finish(&mut self, end: End) {
@@ -49,6 +87,13 @@
             return Poll::Ready(Some(Ok(first)));
         }
         let Some(events) = &mut self.events else { return Poll::Ready(None) };
+        // Events come often enough for this to be asked in time.
+        let due = self.leaving.get().and_then(|departure| departure.due(self.begun));
+        if due.is_some_and(|due| due <= Instant::now()) {
+            self.finish(End::HandedOver);
+            let error = AttemptError::new(Progress::Written, "handed over to another gateway");
+            return Poll::Ready(Some(Err(error)));
+        }
         match events.poll_event(context) {
             Poll::Ready(Some(Ok(piece))) => {
                 self.quiet.as_mut().reset(Instant::now() + self.silence);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -206,6 +206,8 @@
     pub hint: Option<Micros>,
     /// Time until the client gives this try up.
     pub expires_in: Micros,
+    /// Whether the client asks for the rest of an answer that broke or was moved.
+    pub resumed: bool,
 }
 
 /// A server's own report of its load; what it does not report is absent.
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -59,7 +59,7 @@
     /// In one piece.
     Whole(Option<Bytes>),
     /// As an engine makes it.
-    Relay(Relay<HttpEvents>),
+    Relay(Box<Relay<HttpEvents>>),
 }
 
 impl Body for FrontBody {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -12,12 +12,16 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// An answer that is all there.
-struct Pieces(VecDeque<Bytes>);
+/// An answer that is all there, or has no end.
+struct Pieces {
+    left: VecDeque<Bytes>,
+    endless: bool,
+}
 
 impl EventStream for Pieces {
     fn poll_event(&mut self, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>> {
-        Poll::Ready(self.0.pop_front().map(Ok))
+        let more = || Bytes::from_static(b"c");
+        Poll::Ready(self.left.pop_front().or_else(|| self.endless.then(more)).map(Ok))
     }
 }
 
@@ -25,6 +29,7 @@
 #[derive(Clone, Default)]
 struct Fake {
     connects: Rc<Cell<bool>>,
+    endless: bool,
     connected: Rc<Notify>,
     called: Rc<RefCell<Vec<String>>>,
     written: Rc<RefCell<Vec<String>>>,
@@ -48,7 +53,8 @@
                 return Err(AttemptError::new(Progress::Withdrawn, "drains"));
             }
             fake.written.borrow_mut().push(call.endpoint.to_string());
-            let events = || Pieces(VecDeque::from([Bytes::from_static(b"a"), Bytes::from_static(b"b")]));
+            let left = VecDeque::from([Bytes::from_static(b"a"), Bytes::from_static(b"b")]);
+            let events = || Pieces { left, endless: fake.endless };
             let reader = call.endpoint.starts_with('r');
             let reply = if reader { Reply::Read { cached_tokens: 0.0 } } else { Reply::Events(events()) };
             Ok(Replied { reply, load: Load::default() })
@@ -149,6 +155,39 @@
     .await;
 }
 
+// Killed in the middle, a stream is asked for again when the next gateway may be stopping too: where clients
+// ask for the rest it is ended in time, the one that began last first.
+#[tokio::test(start_paused = true)]
+async fn running_answers_are_handed_over_and_new_ones_end_in_time_when_the_gateway_leaves() {
+    local(async {
+        let fake = Fake { connects: Rc::new(Cell::new(true)), endless: true, ..Fake::default() };
+        let gateway = started(&fake);
+        let running = async |id: &str| match gateway.submit(submission(id)).expect("taken").answer().await {
+            Answer::Events(relay) => relay,
+            answer => panic!("{answer:?}"),
+        };
+        let mut old = running("a").await;
+        tokio::time::sleep(Duration::from_secs(12)).await;
+        let mut young = running("b").await;
+        let asked = tokio::time::Instant::now();
+        let (from, span) = (asked + Duration::from_secs(1), Duration::from_secs(1));
+        let answers_by = asked + Duration::from_secs(3);
+        gateway.leave(Departure { answers_by, hand_over: Some((from, span)) });
+        let ended = async |relay: &mut Relay<Pieces>| loop {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            if let Some(Err(_)) = std::future::poll_fn(|context| relay.poll_piece(context)).await {
+                return asked.elapsed().as_millis();
+            }
+        };
+        assert!((1000..1500).contains(&ended(&mut young).await));
+        assert!((1900..2500).contains(&ended(&mut old).await));
+        fake.connects.set(false);
+        let late = gateway.submit(submission("c")).expect("taken").answer().await;
+        assert!(matches!(late, Answer::Refused { .. }) && tokio::time::Instant::now() < answers_by);
+    })
+    .await;
+}
+
 // Settings reach a running driver as the roster does, by a change; what was learnt stays.
 #[tokio::test]
 async fn changed_settings_hold_from_then_on() {
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -107,6 +107,18 @@
     assert!(!refused(&actions, "modest"));
 }
 
+// A building that was lost brought all its clients back at once for the rest of their answers; counted anew
+// they were past their tenant's share and turned away until they gave up.
+#[test]
+fn those_who_come_back_for_the_rest_are_not_counted_anew() {
+    let mut h = Harness::new(Settings { tenant_rates: vec![2.0, 100.0], ..settings() }, &[1, 11]);
+    let mut actions = Vec::new();
+    for n in 0..8 {
+        actions.extend(h.ask(Arrival { resumed: true, ..arrival(&format!("back{n}")) }));
+    }
+    assert!((0..8).all(|n| !refused(&actions, &format!("back{n}"))), "{actions:?}");
+}
+
 fn of_session(name: &str, session: &str) -> Arrival {
     Arrival { session: Some(session.into()), ..arrival(name) }
 }
