Pass over writers that make this router wait while another does not

At fault: choice.rs choose_writer keeps to the reader's cell and zone unless its memory share is 0.2 above the lowest; load is reported to probes only, none are sent, so that all shares are the same average. writer_room already knew which writers make this router wait, choose_writer did not. Ruled out: readers (50 to 100 ms throughout) and the engines' noise (few attempts).

has_room (at most 2 waiting there, none for 0.3 s) now narrows the choice where any writer has it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -899,14 +899,19 @@
         writers.iter().map(share).collect()
     }
 
+    /// Whether a writer does not make this router wait.
+    fn has_room(&self, writer: ServerId) -> bool {
+        let out = self.out(writer);
+        out.waiting < WAITING_CAP && out.oldest_s < WAITING_S
+    }
+
     /// Whether what is being read has a writer to go to: no more is read than the writers that do not
     /// make this router wait have memory for. With nothing out a router always tries, to hear again.
     fn writer_room(&self) -> bool {
         let well = self.well(false);
         let mut room = 0.0;
         for (id, share) in self.shares(&well) {
-            let out = self.out(id);
-            if out.waiting < WAITING_CAP && out.oldest_s < WAITING_S {
+            if self.has_room(id) {
                 room += (SHARE_FULL - share).max(0.0) * self.servers[&id].memory / self.replicas;
             }
         }
@@ -939,7 +944,10 @@
         let Phase::Held(reader, _) = request.phase else {
             return None;
         };
-        let open = self.candidates(request, false);
+        let mut open = self.candidates(request, false);
+        if open.iter().any(|s| self.has_room(*s)) {
+            open.retain(|s| self.has_room(*s));
+        }
         let shares = self.shares(&open);
         let lowest = |of: &[ServerId]| of.iter().map(|s| shares[s]).reduce(f64::min);
         let least = lowest(&open)?;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -141,6 +141,24 @@
     assert_eq!(sends(&h.read("a", 0), "a"), [12]);
 }
 
+// Where no load is reported all writers count as average: those near the reader were sent everything for
+// seconds after they had begun to make it wait, while others elsewhere stood idle.
+#[test]
+fn writer_that_makes_this_router_wait_yields_to_one_elsewhere() {
+    let mut h = Harness::new(settings(), &[]);
+    let far = Entry { cell: 1, zone: 1, ..entry(11) };
+    h.roster(vec![entry(1), far, entry(12)]);
+    let to = |h: &mut Harness, name: &str| {
+        h.ask(Arrival { prompt_tokens: 10.0, ..arrival(name) });
+        sends(&h.read(name, 0), name)
+    };
+    assert_eq!(to(&mut h, "a"), [12]);
+    h.now += 300_000;
+    assert_eq!(to(&mut h, "b"), [11]);
+    h.first("a", 1);
+    assert_eq!(to(&mut h, "c"), [12]);
+}
+
 #[test]
 fn same_events_give_the_same_actions() {
     let run = || {
