Leave out servers by their share of errors; hand streams over late, the oldest first

At fault: choice.rs hear() forgot every failure with the next success, so that a server with errors now and then was never left out; relay.rs handed the youngest over first and from 1.7 s on, when the gateway restarted before was not taking connections yet. In the trace half of all streams end within 3 s and a tenth lasts over 11 s: the young ones end by themselves, the old do not. Ruled out: refusals of those who come back (none of the refused was one).

Each server has a share of errors that fades over 10 s; from 0.4 on (two within seconds) it gets no ordinary work. Streams are handed over from 2.4 to 3.15 s after the signal, the oldest first. Arrivals are logged at debug.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,6 +38,11 @@
 /// First and longest time a failing server is left alone; doubles in between.
 const BACK_OFF: Micros = 500_000;
 const BACK_OFF_MOST: Micros = 4_000_000;
+/// What an error adds of what is left to a server's error share, what a success leaves of it, and from
+/// which on it gets no ordinary work. It fades over `AGE_S`.
+const ERROR_STEP: f64 = 0.35;
+const SUCCESS_LEAVES: f64 = 0.8;
+const ERROR_MOST: f64 = 0.4;
 /// Part of the cold budget used were the fleet at capacity; the rest is for chance and for a slow fleet.
 const COLD_PART: f64 = 0.6;
 /// Seconds of its rate that a tenant may run ahead before it counts as past its share.
@@ -159,6 +164,15 @@
     share: Option<(Micros, f64)>,
     fails: u32,
     barred_until: Micros,
+    /// Share of errors among its late answers, and when that was.
+    errors: (Micros, f64),
+}
+
+impl Server {
+    /// Errors come quickly: one that makes many of them is never busy and would draw all the work.
+    fn error_share(&self, now: Micros) -> f64 {
+        self.errors.1 * (-seconds(now - self.errors.0) / AGE_S).exp()
+    }
 }
 
 /// What this router has out at one server.
@@ -540,7 +554,15 @@
                 self.hear(server);
             }
             Status::TimedOut if outcome.finished => {}
-            Status::Error | Status::Reset | Status::NoConnection | Status::TimedOut => {
+            Status::Error => {
+                self.kept.remove(&(session_lot, server));
+                self.fail_server(server);
+                if let Some(server) = self.servers.get_mut(&server) {
+                    let share = server.error_share(self.now);
+                    server.errors = (self.now, share + ERROR_STEP * (1.0 - share));
+                }
+            }
+            Status::Reset | Status::NoConnection | Status::TimedOut => {
                 self.kept.remove(&(session_lot, server));
                 self.fail_server(server);
             }
@@ -616,6 +638,7 @@
     fn hear(&mut self, id: ServerId) {
         if let Some(server) = self.servers.get_mut(&id) {
             (server.fails, server.barred_until) = (0, 0);
+            server.errors = (self.now, SUCCESS_LEAVES * server.error_share(self.now));
         }
     }
 
@@ -662,7 +685,7 @@
             let out = self.out(*id);
             let silent = out.oldest_s > OVERDUE_FLOOR_S && out.oldest_ratio > OVERDUE;
             let trial = s.fails > 0 && out.attempts > 0;
-            self.now >= s.barred_until && !silent && !trial
+            self.now >= s.barred_until && !silent && !trial && s.error_share(self.now) < ERROR_MOST
         };
         if open.iter().any(well) {
             open.retain(well);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,8 +24,9 @@
 /// deadline: another gateway may be restarting just then.
 const LEAVING: Duration = Duration::from_millis(500);
 const LEAVING_PART: f64 = 0.3;
-/// When running answers are handed over, as parts of the time until the end: first and last.
-const HAND_OVER: (f64, f64) = (0.46, 0.81);
+/// When running answers are handed over, as parts of the time until the end, first and last: late, so that
+/// most end by themselves and a gateway that stopped before this one is back.
+const HAND_OVER: (f64, f64) = (0.65, 0.85);
 /// What is let go after the last answer still has to reach an engine.
 const LAST_RELEASES: Duration = Duration::from_millis(300);
 /// How often idle connections are looked at.
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -297,7 +297,17 @@
             broken_read: false,
             release_waits: Rc::default(),
         };
-        self.open.insert(taken.arrival.id.clone(), open);
+        let ask = &taken.arrival;
+        log::debug!(
+            "arrival request={} class={} tenant={} resumed={} prompt={} expires_ms={}",
+            ask.id.0,
+            ask.class,
+            ask.tenant,
+            ask.resumed,
+            ask.prompt_tokens,
+            ask.expires_in / 1000
+        );
+        self.open.insert(ask.id.clone(), open);
         self.route.tell(Event::Request(taken.arrival));
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,12 +28,12 @@
 pub struct Departure {
     /// By when every request has its final answer.
     pub answers_by: Instant,
-    /// From when on and within what span running answers are ended, where clients ask for the rest: those
-    /// that began last first, since the others are nearer to their own end.
+    /// From when on and within what span running answers are ended, where clients ask for the rest: the
+    /// oldest first, since most answers are short and those that have begun last are likeliest to end.
     pub hand_over: Option<(Instant, Duration)>,
 }
 
-/// Age from which an answer is given all of the span in which to end by itself.
+/// Age from which an answer is given none of the span in which to end by itself.
 const OLD: Duration = Duration::from_secs(10);
 
 impl Departure {
@@ -41,7 +41,7 @@
     fn due(&self, begun: Instant) -> Option<Instant> {
         let (from, span) = self.hand_over?;
         let age = from.saturating_duration_since(begun);
-        Some(from + span.mul_f64((age.as_secs_f64() / OLD.as_secs_f64()).min(1.0)))
+        Some(from + span.mul_f64(1.0 - (age.as_secs_f64() / OLD.as_secs_f64()).min(1.0)))
     }
 }
 
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -74,6 +74,26 @@
     assert_eq!(later.iter().filter(|s| **s == bad).count(), 1, "{later:?}");
 }
 
+// Half of what it answered were errors, and each success between them had all forgotten: what must not run
+// twice went on failing there.
+#[test]
+fn server_of_many_errors_is_left_out_though_some_of_its_answers_are_good() {
+    let mut h = Harness::new(settings(), &[1, 2, 11]);
+    let mut bad = None;
+    let mut sent = 0;
+    for n in 0..60 {
+        let name = n.to_string();
+        let Some(&to) = sends(&h.ask(arrival(&name)), &name).first() else { continue };
+        let fails = *bad.get_or_insert(to) == to;
+        sent += u32::from(fails);
+        h.now += 100_000;
+        h.ended(&name, 0, if fails && sent % 2 == 1 { Status::Error } else { Status::Read });
+        h.handle(&[Event::Abandoned { id: id(&name) }]);
+        h.now += 500_000;
+    }
+    assert!(sent <= 15, "{sent} of 60 went to the one that fails every second time");
+}
+
 #[test]
 fn every_reader_failing_does_not_bar_them_all() {
     let mut h = Harness::new(settings(), &[1, 2, 11]);
