Take a writer's share from own tokens there where no report tells it

At fault: choice.rs shares() took a writer without a report for the average of those with one; where reports come with probes only nobody has one, the average of nothing is 0, and writer_room saw empty writers until their memory had run out and they read answers anew.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -97,11 +97,6 @@
     (bits >> 11) as f64 / (1u64 << 53) as f64
 }
 
-fn mean(values: impl Iterator<Item = f64>) -> f64 {
-    let (sum, count) = values.fold((0.0, 0.0), |(s, n), v| (s + v, n + 1.0));
-    sum / f64::max(count, 1.0)
-}
-
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
@@ -908,18 +903,16 @@
         request.ask.prompt_tokens + grown
     }
 
-    /// Share of each writer's memory taken to be held: its report and what was sent since, by all routers
-    /// if they act alike, at least what this router has there. Without a report, the average.
+    /// Share of each writer's memory taken to be held: its report, at least what this router has there.
+    /// Without a report, what all routers have there if they act alike.
     fn shares(&self, writers: &[ServerId]) -> BTreeMap<ServerId, f64> {
         let known = |id: &ServerId| {
             let server = &self.servers[id];
-            let (at, share) = server.share?;
             let own = self.out(*id).tokens / server.memory;
-            (at + REPORT_LIFE > self.now).then_some(share.max(own))
+            let reported = server.share.filter(|(at, _)| at + REPORT_LIFE > self.now);
+            reported.map_or(own * self.replicas, |(_, share)| share.max(own))
         };
-        let average = mean(writers.iter().filter_map(known));
-        let share = |id: &ServerId| (*id, known(id).unwrap_or(average));
-        writers.iter().map(share).collect()
+        writers.iter().map(|id| (*id, known(id))).collect()
     }
 
     /// Whether a writer does not make this router wait.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -122,6 +122,24 @@
     }
 }
 
+// Where load is reported to probes only, every writer counted as empty: more was read than the writers had
+// memory for, and once it had run out they read answers anew instead of making them.
+#[test]
+fn without_reports_no_more_is_read_than_the_writers_can_hold() {
+    let mut h = Harness::new(Settings { replicas: 2, ..settings() }, &[1, 2, 3, 11]);
+    let mut streams = 0;
+    for n in 0..40 {
+        let name = format!("r{n}");
+        h.ask(Arrival { prompt_tokens: 5_000.0, ..arrival(&name) });
+        if !sends(&h.read(&name, 0), &name).is_empty() {
+            h.first(&name, 1);
+            streams += 1;
+        }
+    }
+    // Two routers alike fill 100,000 tokens with ten such streams each.
+    assert!((8..=12).contains(&streams), "{streams}");
+}
+
 #[test]
 fn among_equal_writers_the_one_with_fewest_own_tokens_is_taken() {
     let mut h = Harness::new(settings(), &[1, 11, 12]);
