Give operators an address: figures, engines out by hand, the drain; inherit the socket

Lines at fault: main.rs bound the address itself and knew no second one; serve.rs closed no connection short of a stop; Listed (roster.rs) had no name by which an operator could speak of an engine.

net/inherited.rs duplicates the socket that the platform holds; front/management.rs answers operators on the same connection code with small bounds; gateway/figures.rs counts by class; Roster keeps who is out by hand, whom module and gate then take for draining; config/shared.rs writes that down for the other process of an upgrade; Phase has Draining and Away. A connection on which something waits unread is not closed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -691,6 +691,13 @@
         open.into_iter().map(|(id, _)| id).collect()
     }
 
+    /// How many listed servers get no ordinary work now.
+    pub fn avoided(&mut self, now: Micros) -> usize {
+        self.now = now.max(self.now);
+        let avoided = |reading| self.listed(reading).count() - self.well(reading).len();
+        avoided(true) + avoided(false)
+    }
+
     /// Where a request may go: the well that its class allows, those it has not tried before the others.
     fn candidates(&self, request: &Request, reading: bool) -> Vec<ServerId> {
         let mut open = self.well(reading);
--- a/src/config/bounds.rs
+++ b/src/config/bounds.rs
@@ -2,8 +2,11 @@
 
 use serde::Deserialize;
 
-/// Descriptors that are neither clients' nor engines': the runtime's, the listener, discovery's, files.
-const OWN_SOCKETS: usize = 24;
+/// Connections of operators, and those above that which are turned away.
+const MANAGEMENT: (usize, usize) = (16, 8);
+/// Descriptors that are neither clients' nor engines': the runtime's, the listeners, discovery's, files,
+/// operators'.
+const OWN_SOCKETS: usize = 24 + MANAGEMENT.0 + MANAGEMENT.1;
 /// Megabytes that the program takes with nothing open.
 const OWN_MB: u64 = 12;
 /// Most bytes of a body, and of a request's share of what is kept in buffers.
@@ -34,6 +37,8 @@
     pub client_connections: usize,
     /// Connections of clients above that which are told to come back.
     pub client_spare: usize,
+    /// Connections of operators, and above that.
+    pub management: (usize, usize),
     /// Connections to engines; an open request takes one.
     pub engine_connections: usize,
     /// Bytes that may be buffered for one connection, a head among them.
@@ -60,6 +65,7 @@
         Self {
             client_connections,
             client_spare,
+            management: MANAGEMENT,
             engine_connections,
             buffer: (bytes / 4 / sockets).clamp(BUFFER.0, BUFFER.1),
             requests: client_connections,
--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -99,7 +99,11 @@
             condition,
             started_at: (self.boot_ms.max(0.0) * 1000.0) as Micros,
         };
-        Some(Listed { entry, endpoint: Arc::from(self.endpoint.as_str()) })
+        Some(Listed {
+            entry,
+            name: Arc::from(self.uid.as_str()),
+            endpoint: Arc::from(self.endpoint.as_str()),
+        })
     }
 }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,11 +4,13 @@
 mod inference;
 mod list;
 mod reload;
+mod shared;
 
 pub use bounds::{Bounds, Resources};
 pub use inference::{Api, Inference, InferencePool, Repeat};
 pub use list::{List, Names, Numbers, Target, place};
 pub use reload::Reload;
+pub use shared::{Orders, Shared};
 
 use crate::interface::{Class, Effect, Group, Load, Micros, Role, Settings};
 use serde::Deserialize;
@@ -39,6 +41,8 @@
     listen: String,
     discovery: String,
     #[serde(default)]
+    management: Option<String>,
+    #[serde(default)]
     seed: String,
     #[serde(default)]
     limits: Resources,
@@ -172,6 +176,8 @@
     pub listen: String,
     /// Where discovery listens.
     pub discovery: String,
+    /// Where operators connect, if they do.
+    pub management: Option<String>,
     /// For random numbers.
     pub seed: u64,
     /// What the process may hold.
@@ -230,6 +236,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            management: file.management,
             resources: file.limits,
             known: file.known,
         })
--- a/src/config/reload.rs
+++ b/src/config/reload.rs
@@ -127,7 +127,7 @@
         let change = reload.next().await;
         let told = change.map(|change| match change.news {
             News::Settings(settings) => settings.replicas,
-            News::Roster { .. } => panic!("no roster in it"),
+            _ => panic!("no settings"),
         });
         assert_eq!((told, &**address.borrow()), (replicas, discovery));
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Puts the parts together and serves until it is stopped.
 
 use crate::config::{self, Bounds, Config};
-use crate::front::{Bodies, Fronts, Inference, Model, Platform};
+use crate::front::{Bodies, Fronts, Inference, Management, Model, Platform};
 use crate::gateway::{self, Changes, Departure, Gateway, News, Tuning};
 use crate::interface::Settings;
 use crate::net::{self, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
@@ -29,6 +29,11 @@
 const HAND_OVER: (f64, f64) = (0.65, 0.85);
 /// What is let go after the last answer still has to reach an engine.
 const LAST_RELEASES: Duration = Duration::from_millis(300);
+/// How long a call of an operator may stand still, and how long it may take.
+const CALL_STALL: Duration = Duration::from_millis(800);
+const CALL: Duration = Duration::from_secs(2);
+/// Most bytes of one that are kept.
+const CALL_BYTES: usize = 8 << 10;
 /// How often idle connections are looked at.
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
 /// How long a client's connection may stand still in a request, or before its first; and idle between two,
@@ -43,6 +48,7 @@
     while let Some(change) = changes.next().await {
         match &change.news {
             News::Settings(_) => log::info!("settings rev={}", change.revision),
+            News::Withheld(names) => log::info!("withheld engines={}", names.len()),
             News::Roster { form, engines } => {
                 log::info!("roster rev={} form={form:?} entries={}", change.revision, engines.len());
             }
@@ -113,6 +119,27 @@
     }
 }
 
+/// Lets the other process of this gateway know as soon as this one can serve.
+fn claim_when_ready(chat: &Gateway<HttpEngines>, shared: &config::Shared) {
+    let (chat, shared) = (chat.clone(), shared.clone());
+    tokio::task::spawn_local(async move {
+        while !chat.can_serve() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        if let Err(error) = shared.claim() {
+            log::warn!("claim not written down {error}");
+        }
+    });
+}
+
+/// Where operators call, and what the processes of one gateway share.
+pub struct Operation {
+    /// Listens for operators' calls.
+    pub management: Option<TcpListener>,
+    /// Orders, and who takes clients.
+    pub shared: config::Shared,
+}
+
 /// Serves on the listener until `stop` is done and what is open has ended. Chat's settings and discovery
 /// follow `reload`.
 pub async fn run(
@@ -120,6 +147,7 @@
     inference: Option<config::Inference>,
     reload: Option<config::Reload>,
     listener: TcpListener,
+    operation: Operation,
     stop: impl Future<Output = std::io::Result<()>>,
 ) -> Result<(), Box<dyn Error>> {
     let bounds = Bounds::from(config.resources);
@@ -132,6 +160,7 @@
     let (ended, mut drivers_end) = mpsc::channel(1);
     let drivers = Drivers { pool: pool.clone(), bounds, seed: config.seed, ended };
     let engines = HttpEngines::new(pool.clone(), config.load.clone(), true, bounds.answer_bytes);
+    let tries = engines.tries();
     let fixed = || watch::Sender::new(Arc::from(config.discovery.as_str())).subscribe();
     let address = reload.as_ref().map_or_else(fixed, config::Reload::discovery);
     let roster = Watch::new(address, config.names.clone(), config.known);
@@ -139,6 +168,8 @@
     let longest = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let longest = Duration::from_micros(longest);
     let chat = drivers.start("chat", config.settings, tuning(&bounds), engines, roster)?;
+    let Operation { management, shared } = operation;
+    tokio::task::spawn_local(follow(config::Orders::new(shared.clone()), chat.clone()));
     if let Some(reload) = reload {
         tokio::task::spawn_local(follow(reload, chat.clone()));
     }
@@ -151,6 +182,32 @@
         }
     });
     let (phase, phases) = watch::channel(Phase::Serving);
+    let phase = Rc::new(phase);
+    if let Some(listener) = management {
+        let front = Management {
+            gateway: chat.clone(),
+            classes: config.names.classes.clone(),
+            tries,
+            shared: shared.clone(),
+            phase: phase.clone(),
+        };
+        let limits = ServeLimits {
+            connections: bounds.management.0,
+            spare: bounds.management.1,
+            buffer: CALL_BYTES,
+            stall: CALL_STALL,
+            head: CALL,
+            idle: CALL_STALL,
+            idle_least: CALL_STALL / 4,
+        };
+        // Operators are answered until the process ends.
+        let always = watch::Sender::new(Phase::Serving);
+        let phases = always.subscribe();
+        tokio::task::spawn_local(async move {
+            net::serve(listener, Rc::new(front), limits, phases).await;
+            drop(always);
+        });
+    }
     let bodies = Rc::new(Bodies::new(bounds.reading_bytes));
     let fronts = Fronts {
         platform: Platform::new(chat.clone(), config.names, classes, bodies.clone()),
@@ -167,13 +224,16 @@
         idle: CLIENT_IDLE,
         idle_least: CLIENT_IDLE_LEAST,
     };
+    claim_when_ready(&chat, &shared);
     let served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, phases));
     tokio::select! {
         Some(how) = drivers_end.recv() => return Err(format!("a driver ended: {how}").into()),
         asked = stop => asked?,
     }
-    log::info!("stopping open={}", chat.open());
-    phase.send_replace(Phase::Leaving);
+    // Where a new version takes clients already on the same socket, none must come here any more.
+    let superseded = shared.is_superseded();
+    log::info!("stopping open={} superseded={superseded}", chat.open());
+    phase.send_replace(if superseded { Phase::Closing } else { Phase::Leaving });
     let counted = longest.min(LONGEST_COUNTED);
     let (asked, end) = (Instant::now(), counted + KILLED_AFTER);
     let (first, last) = (end.mul_f64(HAND_OVER.0), end.mul_f64(HAND_OVER.1));
@@ -181,8 +241,10 @@
         answers_by: asked + end - ANSWERED_BEFORE,
         hand_over: config.resume.then_some((asked + first, last - first)),
     });
-    tokio::time::sleep(LEAVING + counted.mul_f64(LEAVING_PART)).await;
-    phase.send_replace(Phase::Closing);
+    if !superseded {
+        tokio::time::sleep(LEAVING + counted.mul_f64(LEAVING_PART)).await;
+        phase.send_replace(Phase::Closing);
+    }
     served.await?;
     tokio::time::sleep(LAST_RELEASES).await;
     log::info!("stopped open={}", chat.open());
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,11 +2,13 @@
 
 mod inference;
 mod intake;
+mod management;
 mod platform;
 mod reply;
 
 pub use inference::{Inference, Model};
 pub use intake::Bodies;
+pub use management::Management;
 pub use platform::Platform;
 
 use crate::gateway::Rejected;
@@ -61,11 +63,12 @@
         }
     }
 
-    fn too_many(&self) -> Response<FrontBody> {
+    fn too_many(&self, request: &Request<Incoming>) -> Response<FrontBody> {
+        self.platform.turned_away(request.headers());
         reply::rejection(Rejected::Busy)
     }
 
     fn contradicting(&self) -> Response<FrontBody> {
-        reply::error(StatusCode::BAD_REQUEST, "both transfer-encoding and content-length")
+        reply::contradicting()
     }
 }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -3,7 +3,7 @@
 use super::intake::{Bodies, TOKEN_CHARS, Whole, header, request_id, span};
 use super::reply;
 use crate::config::{Names, place};
-use crate::gateway::{Gateway, Submission};
+use crate::gateway::{Fate, Gateway, Submission, Ticket};
 use crate::interface::{Arrival, Class, Micros};
 use crate::net::{FrontBody, HttpEngines, Job, Manner};
 use hyper::body::Incoming;
@@ -29,27 +29,43 @@
         self.gateway.can_serve()
     }
 
+    fn class(&self, headers: &HeaderMap) -> Option<usize> {
+        place(&self.names.classes, header(headers, "req-kind").ok()??)
+    }
+
+    /// Counts a request that is refused before the core has seen it.
+    pub(super) fn turned_away(&self, headers: &HeaderMap) {
+        if let Some(class) = self.class(headers) {
+            self.gateway.count(class, Fate::Refused);
+        }
+    }
+
     /// Answers a chat request.
     pub(super) async fn chat(&self, request: Request<Incoming>) -> Response<FrontBody> {
-        let Whole { came, path, headers, body } = match self.bodies.read(request).await {
-            Ok(whole) => whole,
-            Err(response) => return response,
-        };
-        if let Err(message) = check_chat(&body) {
-            return reply::error(StatusCode::BAD_REQUEST, message);
+        let class = self.class(request.headers());
+        match self.take(request).await {
+            Ok(ticket) => reply::respond(ticket.answer().await),
+            Err(response) => {
+                if let Some(class) = class.filter(|_| response.status() == StatusCode::SERVICE_UNAVAILABLE) {
+                    self.gateway.count(class, Fate::Refused);
+                }
+                response
+            }
         }
-        let mut arrival = match arrival(&headers, &self.names, &self.classes, body.len()) {
-            Ok(arrival) => arrival,
-            Err(message) => return reply::error(StatusCode::BAD_REQUEST, &message),
-        };
+    }
+
+    /// Reads a request and hands it to the core; an answer at once if it does not come to that.
+    async fn take(&self, request: Request<Incoming>) -> Result<Ticket<HttpEngines>, Response<FrontBody>> {
+        let Whole { came, path, headers, body } = self.bodies.read(request).await?;
+        let wrong = |message: &str| reply::error(StatusCode::BAD_REQUEST, message);
+        check_chat(&body).map_err(wrong)?;
+        let told = arrival(&headers, &self.names, &self.classes, body.len());
+        let mut arrival = told.map_err(|message| wrong(&message))?;
         arrival.expires_in = arrival.expires_in.saturating_sub(came.elapsed().as_micros() as Micros);
         let size = body.len();
         let job = Job { path, body, manner: Manner::Staged };
         let submission = Submission { arrival, job, size, key: None };
-        match self.gateway.submit(submission) {
-            Ok(ticket) => reply::respond(ticket.answer().await),
-            Err(rejected) => reply::rejection(rejected),
-        }
+        self.gateway.submit(submission).map_err(reply::rejection)
     }
 }
 
--- a/src/front/reply.rs
+++ b/src/front/reply.rs
@@ -30,6 +30,11 @@
     json(status, body.to_string().into())
 }
 
+/// The answer to a head that gives two lengths.
+pub(super) fn contradicting() -> Response<FrontBody> {
+    error(StatusCode::BAD_REQUEST, "both transfer-encoding and content-length")
+}
+
 /// A refusal, with when to come back.
 pub(super) fn refusal(status: StatusCode, message: &str, retry_after: Micros) -> Response<FrontBody> {
     let mut response = error(status, message);
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -1,5 +1,6 @@
 //! Last stage: each request's one final answer, what is held for it let go, and the counts.
 
+use super::figures::{Counter, Fate};
 use super::relay::End;
 use super::roster::Roster;
 use super::take_in::Caller;
@@ -34,11 +35,19 @@
     /// When each engine last answered: a release goes first to the one surest to run.
     heard: Rc<RefCell<HashMap<ServerId, Micros>>>,
     counts: Rc<RefCell<Counts>>,
+    counter: Rc<Counter>,
 }
 
 impl<E: Engines> Book<E> {
-    pub(super) fn new(name: &str, engines: Rc<E>, roster: Rc<Roster>, patience: Duration) -> Self {
-        Self { name: name.into(), engines, roster, patience, heard: Rc::default(), counts: Rc::default() }
+    pub(super) fn new(
+        name: &str,
+        engines: Rc<E>,
+        roster: Rc<Roster>,
+        patience: Duration,
+        counter: Rc<Counter>,
+    ) -> Self {
+        let (heard, counts) = (Rc::default(), Rc::default());
+        Self { name: name.into(), engines, roster, patience, heard, counts, counter }
     }
 
     pub(super) fn hear(&self, server: ServerId, now: Micros) {
@@ -52,16 +61,20 @@
     }
 
     /// Answers all who wait. Only the first can have a running answer.
-    pub(super) fn answer(&self, callers: Vec<Caller<E::Events>>, answer: Answer<E::Events>) {
+    pub(super) fn answer(&self, class: usize, callers: Vec<Caller<E::Events>>, answer: Answer<E::Events>) {
         let mut counts = self.counts.borrow_mut();
-        match &answer {
-            Answer::Events(_) => {}
-            Answer::Whole(_) => counts.served += 1,
-            Answer::Faulty(_) => counts.faulty += 1,
-            Answer::Refused { .. } => counts.refused += 1,
-            Answer::Failed { .. } => counts.failed += 1,
-        }
+        let (count, fate) = match &answer {
+            Answer::Events(_) => (&mut 0, None),
+            Answer::Whole(_) => (&mut counts.served, Some(Fate::Served)),
+            Answer::Faulty(_) => (&mut counts.faulty, Some(Fate::Failed)),
+            Answer::Refused { .. } => (&mut counts.refused, Some(Fate::Refused)),
+            Answer::Failed { .. } => (&mut counts.failed, Some(Fate::Failed)),
+        };
+        *count += 1;
         drop(counts);
+        if let Some(fate) = fate {
+            self.counter.count(class, fate);
+        }
         let mut callers = callers.into_iter();
         let first = callers.next();
         callers.for_each(|caller| caller.take(answer.again()));
@@ -70,7 +83,13 @@
         }
     }
 
-    pub(super) fn ended(&self, id: &RequestId, end: &End) {
+    /// A running answer has ended.
+    pub(super) fn ended(&self, class: usize, id: &RequestId, end: &End) {
+        match end {
+            End::Whole => self.counter.count(class, Fate::Served),
+            End::Broke(_) | End::HandedOver => self.counter.count(class, Fate::Failed),
+            End::ClientGone => {}
+        }
         let mut counts = self.counts.borrow_mut();
         match end {
             End::Whole => counts.served += 1,
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -2,6 +2,7 @@
 
 use super::admit::{Admission, Admitted};
 use super::book::Book;
+use super::figures::{Counter, Fate, Figures};
 use super::relay::{Departure, End, Leaving, Relay};
 use super::roster::Roster;
 use super::route::Route;
@@ -16,7 +17,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 
 /// Figures of the core that are not the module's.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +34,8 @@
     pub closing: Duration,
     /// How often counts are logged.
     pub report_every: Duration,
+    /// How often it is looked which engines are avoided.
+    pub look_every: Duration,
 }
 
 impl Default for Tuning {
@@ -49,6 +52,7 @@
             release_delay: Duration::from_millis(40),
             closing: Duration::from_millis(10),
             report_every: Duration::from_secs(10),
+            look_every: Duration::from_millis(200),
         }
     }
 }
@@ -71,6 +75,7 @@
     roles: Rc<[Role]>,
     callers: Rc<Cell<u64>>,
     leaving: Leaving,
+    counter: Rc<Counter>,
 }
 
 impl<E: Engines> Clone for Gateway<E> {
@@ -82,6 +87,7 @@
             roles: self.roles.clone(),
             callers: self.callers.clone(),
             leaving: self.leaving.clone(),
+            counter: self.counter.clone(),
         }
     }
 }
@@ -128,6 +134,23 @@
         has(Role::Both) || has(Role::Read) && has(Role::Write)
     }
 
+    /// Whether an engine of that name is listed, or was.
+    pub fn has_listed(&self, name: &str) -> bool {
+        self.roster.has_listed(name)
+    }
+
+    /// Counts a request that a front answered by itself.
+    pub fn count(&self, class: usize, fate: Fate) {
+        self.counter.count(class, fate);
+    }
+
+    /// The figures as they stand.
+    pub fn figures(&self) -> Figures {
+        let (listed, withheld) = self.roster.count();
+        let avoided = (withheld + self.counter.avoided.get()).min(listed);
+        Figures { handled: self.counter.handled(), open: self.open(), listed, avoided }
+    }
+
     /// How many requests are open.
     pub fn open(&self) -> usize {
         self.admission.borrow().open()
@@ -151,6 +174,7 @@
 
 struct Open<E: Engines> {
     job: Rc<E::Job>,
+    class: usize,
     /// Whether a run that may have begun can be repeated without harm.
     harmless: bool,
     expires: Micros,
@@ -193,6 +217,7 @@
     inbox: mpsc::UnboundedReceiver<Input<E>>,
     sender: mpsc::UnboundedSender<Input<E>>,
     leaving: Leaving,
+    counter: Rc<Counter>,
     open: HashMap<RequestId, Open<E>>,
     /// Requests of which something is to be let go at the end of this turn.
     releases: Vec<RequestId>,
@@ -214,10 +239,11 @@
     let roles: Rc<[Role]> = settings.roles.clone().into();
     let admission = Rc::new(RefCell::new(Admission::new(tuning.limits)));
     let engines = Rc::new(engines);
+    let counter = Rc::new(Counter::new(settings.classes.len()));
     let mut driver = Driver {
         clock: Clock::default(),
         route: Route::new(Router::new(settings.clone(), seed)?),
-        book: Book::new(name, engines.clone(), roster.clone(), tuning.release_patience),
+        book: Book::new(name, engines.clone(), roster.clone(), tuning.release_patience, counter.clone()),
         engines,
         roster: roster.clone(),
         settings,
@@ -226,12 +252,14 @@
         inbox,
         sender: sender.clone(),
         leaving: Leaving::default(),
+        counter: counter.clone(),
         open: HashMap::new(),
         releases: Vec::new(),
         touched: Vec::new(),
     };
     let leaving = driver.leaving.clone();
-    let gateway = Gateway { inbox: sender, admission, roster, roles, callers: Rc::default(), leaving };
+    let callers = Rc::default();
+    let gateway = Gateway { inbox: sender, admission, roster, roles, callers, leaving, counter };
     let task = tokio::task::spawn_local(async move { driver.run().await });
     Ok((gateway, task))
 }
@@ -239,6 +267,8 @@
 impl<E: Engines> Driver<E> {
     async fn run(&mut self) {
         let mut report = tokio::time::interval(self.tuning.report_every);
+        let mut look = tokio::time::interval(self.tuning.look_every);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let wait = self.route.next_timer().map(|due| self.clock.until(due));
             tokio::select! {
@@ -246,6 +276,7 @@
                 Some(input) = self.inbox.recv() => self.take(input),
                 () = tokio::time::sleep(wait.unwrap_or(Duration::from_secs(3600))), if wait.is_some() => {}
                 _ = report.tick() => self.book.report(self.open.len()),
+                _ = look.tick() => self.counter.avoided.set(self.route.avoided(self.clock.now())),
             }
             while let Ok(input) = self.inbox.try_recv() {
                 self.take(input);
@@ -287,6 +318,7 @@
         let harmless = class.is_some_and(|class| class.effect == Effect::Safe);
         let open = Open {
             job: taken.job,
+            class: taken.arrival.class,
             harmless,
             expires: self.clock.now() + taken.arrival.expires_in,
             attempts: Vec::new(),
@@ -375,7 +407,9 @@
     }
 
     fn take_ended(&mut self, id: RequestId, attempt: u32, end: &End) {
-        self.book.ended(&id, end);
+        if let Some(open) = self.open.get(&id) {
+            self.book.ended(open.class, &id, end);
+        }
         let status = match end {
             End::Whole => Status::Served,
             End::Broke(_) => Status::Reset,
@@ -410,9 +444,13 @@
                     self.engines.forget(&endpoint);
                 }
                 self.book.forget_unlisted();
-                let entries = engines.into_iter().map(|listed| listed.entry).collect();
+                let entries = engines.iter().map(|listed| self.roster.as_used(listed)).collect();
                 self.route.tell(Event::Roster { form, entries });
             }
+            News::Withheld(names) => {
+                let entries = self.roster.withhold(names);
+                self.route.tell(Event::Roster { form: RosterForm::Delta, entries });
+            }
         }
     }
 
@@ -439,6 +477,7 @@
     fn answer(&mut self, id: RequestId, answer: Answer<E::Events>) {
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
         open.answered = true;
+        let class = open.class;
         let keep = match &answer {
             Answer::Whole(_) | Answer::Faulty(_) => true,
             // What may have run with harm must not run again under its key.
@@ -447,7 +486,7 @@
         };
         log::debug!("answer request={} {answer:?} attempts={}", id.0, open.attempts.len());
         let callers = self.admission.borrow_mut().answered(&id, &answer, keep);
-        self.book.answer(callers, answer);
+        self.book.answer(class, callers, answer);
         self.touched.push(id);
     }
 
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::{Condition, Entry, RosterForm, ServerId, Settings};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,6 +12,8 @@
 pub struct Listed {
     /// What the module is told of it.
     pub entry: Entry,
+    /// Its name in the list, by which operators speak of it.
+    pub name: Arc<str>,
     /// Where it listens; opaque to the core.
     pub endpoint: Arc<str>,
 }
@@ -28,6 +30,8 @@
         /// The entries.
         engines: Vec<Listed>,
     },
+    /// The names of the engines that operators have taken out of use, all of them.
+    Withheld(BTreeSet<Arc<str>>),
 }
 
 /// A change of what the core is told from outside.
@@ -45,10 +49,17 @@
     fn next(&mut self) -> impl Future<Output = Option<Change>>;
 }
 
+/// How many names of engines that are gone are kept, to know that they were listed.
+const EARLIER: usize = 1024;
+
 /// The list as it stands.
 #[derive(Debug, Default)]
 pub(super) struct Roster {
     engines: RefCell<BTreeMap<ServerId, Listed>>,
+    /// Names of engines that operators have taken out of use, whatever the list says of them.
+    withheld: RefCell<BTreeSet<Arc<str>>>,
+    /// Names that were listed, the oldest first.
+    earlier: RefCell<VecDeque<Arc<str>>>,
 }
 
 impl Roster {
@@ -69,11 +80,47 @@
                 unused.push(old.endpoint);
             }
         }
-        let gone = engines.extract_if(.., |_, l| l.entry.condition == Condition::Gone);
-        unused.extend(gone.map(|(_, l)| l.endpoint));
+        let mut earlier = self.earlier.borrow_mut();
+        for (_, gone) in engines.extract_if(.., |_, l| l.entry.condition == Condition::Gone) {
+            unused.push(gone.endpoint);
+            earlier.retain(|name| *name != gone.name);
+            earlier.push_back(gone.name);
+        }
+        let beyond = earlier.len().saturating_sub(EARLIER);
+        earlier.drain(..beyond);
         unused
     }
 
+    /// An entry as it is to be used: one that is withheld counts as draining.
+    pub(super) fn as_used(&self, listed: &Listed) -> Entry {
+        let mut entry = listed.entry.clone();
+        if entry.condition == Condition::Ready && self.withheld.borrow().contains(&listed.name) {
+            entry.condition = Condition::Draining;
+        }
+        entry
+    }
+
+    /// Takes over which engines are withheld; gives the entries that change by it, as they are to be used.
+    pub(super) fn withhold(&self, names: BTreeSet<Arc<str>>) -> Vec<Entry> {
+        let before = self.withheld.replace(names);
+        let withheld = self.withheld.borrow();
+        let engines = self.engines.borrow();
+        let changed = engines.values().filter(|l| before.contains(&l.name) != withheld.contains(&l.name));
+        changed.map(|listed| self.as_used(listed)).collect()
+    }
+
+    /// Whether an engine of that name is listed or, not too long ago, was.
+    pub(super) fn has_listed(&self, name: &str) -> bool {
+        let listed = self.engines.borrow().values().any(|l| &*l.name == name);
+        listed || self.withheld.borrow().contains(name) || self.earlier.borrow().iter().any(|n| &**n == name)
+    }
+
+    /// How many engines are listed, and how many of them are withheld.
+    pub(super) fn count(&self) -> (usize, usize) {
+        let (engines, withheld) = (self.engines.borrow(), self.withheld.borrow());
+        (engines.len(), engines.values().filter(|l| withheld.contains(&l.name)).count())
+    }
+
     pub(super) fn entry(&self, server: ServerId) -> Option<Listed> {
         self.engines.borrow().get(&server).cloned()
     }
@@ -84,14 +131,15 @@
     }
 
     fn is_ready(&self, server: ServerId) -> bool {
-        self.engines.borrow().get(&server).is_some_and(|l| l.entry.condition == Condition::Ready)
+        let engines = self.engines.borrow();
+        engines.get(&server).is_some_and(|l| self.as_used(l).condition == Condition::Ready)
     }
 
     /// The kinds of the engines that take work.
     pub(super) fn ready_kinds(&self) -> Vec<usize> {
         let engines = self.engines.borrow();
-        let ready = engines.values().filter(|l| l.entry.condition == Condition::Ready);
-        ready.map(|l| l.entry.kind).collect()
+        let used = engines.values().map(|l| self.as_used(l));
+        used.filter(|entry| entry.condition == Condition::Ready).map(|entry| entry.kind).collect()
     }
 }
 
@@ -118,7 +166,7 @@
     fn endpoint_of_an_engine_that_is_gone_is_given_up_once() {
         let listed = |number, condition| {
             let entry = Entry { server: ServerId(number), condition, ..Entry::default() };
-            [Listed { entry, endpoint: Arc::from("e") }]
+            [Listed { entry, name: format!("s-{number}").into(), endpoint: Arc::from("e") }]
         };
         let roster = Roster::default();
         assert!(roster.apply(RosterForm::Full, &listed(1, Condition::Ready)).is_empty());
@@ -126,4 +174,26 @@
         assert!(roster.apply(RosterForm::Delta, &listed(2, Condition::Ready)).is_empty());
         assert!(!roster.is_ready(ServerId(1)) && roster.is_ready(ServerId(2)));
     }
+
+    // The list of a withheld engine's state goes on: what it says must not bring the engine back into use.
+    #[test]
+    fn withheld_engine_stays_out_whatever_the_list_says() {
+        let listed = |condition| {
+            let entry = Entry { server: ServerId(1), condition, ..Entry::default() };
+            [Listed { entry, name: "s-1".into(), endpoint: "e".into() }]
+        };
+        let roster = Roster::default();
+        roster.apply(RosterForm::Full, &listed(Condition::Ready));
+        let changed = roster.withhold(["s-1".into()].into());
+        assert_eq!((changed.len(), changed[0].condition), (1, Condition::Draining));
+        for condition in [Condition::Draining, Condition::Gone, Condition::Ready] {
+            roster.apply(RosterForm::Delta, &listed(condition));
+            assert!(!roster.is_ready(ServerId(1)), "{condition:?}");
+            assert!(roster.has_listed("s-1") && !roster.has_listed("s-2"));
+        }
+        assert_eq!(roster.count(), (1, 1));
+        let changed = roster.withhold(BTreeSet::new());
+        assert_eq!((changed.len(), changed[0].condition), (1, Condition::Ready));
+        assert!(roster.is_ready(ServerId(1)));
+    }
 }
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -34,6 +34,11 @@
         self.timers.first().map(|(due, _)| *due)
     }
 
+    /// How many listed engines the module avoids.
+    pub(super) fn avoided(&mut self, now: Micros) -> usize {
+        self.router.avoided(now)
+    }
+
     /// What is to be done now; nothing if nothing has happened.
     pub(super) fn decide(&mut self, now: Micros) -> Vec<Action> {
         while let Some(&(due, token)) = self.timers.first()
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 //! The meadowlug gateway: reads its configuration and serves until it is stopped.
 #![forbid(unsafe_code)]
 
-use meadowlug::config::{Config, Inference, Reload};
+use meadowlug::config::{Config, Inference, Reload, Shared};
 use meadowlug::{daemon, net};
 use std::error::Error;
 use std::process::ExitCode;
@@ -16,9 +16,19 @@
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let listener = tokio::net::TcpListener::bind(&config.listen).await?;
+        let listener = match std::env::var("BALANCER_INHERITED_FD") {
+            Ok(number) => tokio::net::TcpListener::from_std(net::inherited(&number)?)?,
+            Err(_) => tokio::net::TcpListener::bind(&config.listen).await?,
+        };
+        let management = match config.management.clone().or(std::env::var("BALANCER_MANAGEMENT").ok()) {
+            Some(address) => Some(tokio::net::TcpListener::bind(address).await?),
+            None => None,
+        };
+        // Only where operators give orders, or a new version can take over, is there something to share.
+        let folder = std::env::var_os("TMPDIR").filter(|_| management.is_some()).map(Into::into);
+        let operation = daemon::Operation { management, shared: Shared::new(folder, &config.name)? };
         let reload = Reload::new(path.into(), &config, net::reload_asked()?);
-        daemon::run(config, inference, Some(reload), listener, net::stop_asked()).await
+        daemon::run(config, inference, Some(reload), listener, operation, net::stop_asked()).await
     })
 }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -91,6 +91,11 @@
         self.heads.borrow().in_request()
     }
 
+    /// Whether a request is being answered on it.
+    pub(super) fn is_answering(&self) -> bool {
+        self.answering.get() > 0
+    }
+
     /// Whether a request was ever answered on it.
     pub(super) fn is_used(&self) -> bool {
         self.used.get()
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -49,7 +49,7 @@
             None => self.pool.take(&self.address).await?,
         };
         let call = async {
-            let answer = channel.send(request, 0).await?;
+            let answer = channel.send(request, 0, None).await?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), LIST_BYTES).collect().await;
             let body = body.map_err(|e| AttemptError::new(Progress::Written, e))?.to_bytes();
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{HeaderMap, Method, Request, StatusCode};
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -51,13 +52,20 @@
     stateful: bool,
     /// Most bytes of one answer.
     answer_bytes: usize,
+    /// Attempts that were written whole.
+    tries: Rc<Cell<u64>>,
 }
 
 impl HttpEngines {
     /// Engines that hold state between the stages of a request, or not, with answers of so many bytes at
     /// most.
     pub fn new(pool: Rc<Pool>, load: LoadNames, stateful: bool, answer_bytes: usize) -> Self {
-        Self { pool, load, stateful, answer_bytes }
+        Self { pool, load, stateful, answer_bytes, tries: Rc::default() }
+    }
+
+    /// Where the attempts that were written whole are counted.
+    pub fn tries(&self) -> Rc<Cell<u64>> {
+        self.tries.clone()
     }
 }
 
@@ -141,6 +149,7 @@
         call: Call<Job>,
     ) -> impl Future<Output = Result<Replied<HttpEvents>, AttemptError>> + 'static {
         let (pool, names, most) = (self.pool.clone(), self.load.clone(), self.answer_bytes);
+        let tries = self.tries.clone();
         async move {
             let request = call_request(&call)?;
             let mut channel = pool.take(&call.endpoint).await?;
@@ -148,7 +157,7 @@
                 pool.put(call.endpoint, channel);
                 return Err(AttemptError::new(Progress::Withdrawn, "told to drain while connecting"));
             }
-            let answer = channel.send(request, call.job.body.len()).await?;
+            let answer = channel.send(request, call.job.body.len(), Some(tries)).await?;
             let (head, body) = answer.into_parts();
             let load = head.headers.get("srv-load").map_or(Load::default(), |l| names.read(l.as_bytes()));
             if call.job.manner == Manner::Staged && head.status == StatusCode::OK {
@@ -175,7 +184,7 @@
             }
             let request = request(Method::DELETE, &endpoint, &format!("/state/{}", id.0), Bytes::new())?;
             let mut channel = pool.take(&endpoint).await?;
-            let answer = channel.send(request, 0).await?;
+            let answer = channel.send(request, 0, None).await?;
             let status = answer.status();
             whole(&channel, answer.into_body(), SHORT_BYTES).await?;
             pool.put(endpoint, channel);
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -56,13 +56,15 @@
 }
 
 impl Channel {
-    /// Sends one request and waits for the head of its answer. Nothing is sent a second time.
+    /// Sends one request, counted on the tally once it is written whole, and waits for the head of its
+    /// answer. Nothing is sent a second time.
     pub(super) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         body: usize,
+        tally: Option<Rc<Cell<u64>>>,
     ) -> Result<Response<Incoming>, AttemptError> {
-        self.meter.begin(body);
+        self.meter.begin(body, tally);
         let answer = self.sender.try_send_request(request).await;
         answer.map_err(|error| self.lost(error.into_error()))
     }
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,6 +1,6 @@
 //! The server side: connections of clients, bounded, each with a task of its own where panics stop.
 
-use super::clients::{Answering, Clients, Marked, Place, Seat, ServeLimits, Watched};
+use super::clients::{Answering, Clients, Marked, Place, Seat, ServeLimits, Standing, Watched};
 use super::engines::HttpEvents;
 use super::heads::Framing;
 use super::transport::end_writing;
@@ -38,6 +38,10 @@
 pub enum Phase {
     /// Not asked to stop.
     Serving,
+    /// Operators send clients away: no longer ready, but still serving as before.
+    Draining,
+    /// The same a little later: connections close after the answer in hand, new ones after their first.
+    Away,
     /// Asked to stop; new connections and requests are still served.
     Leaving,
     /// Connections close after the answer in hand.
@@ -49,7 +53,7 @@
     /// Answers one request.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<FrontBody>>;
     /// Turns a request away because there are too many connections.
-    fn too_many(&self) -> Response<FrontBody>;
+    fn too_many(&self, request: &Request<Incoming>) -> Response<FrontBody>;
     /// Turns a request away whose head gives two lengths that contradict each other.
     fn contradicting(&self) -> Response<FrontBody>;
 }
@@ -154,7 +158,7 @@
         let answering = Answering::new(standing.clone());
         async move {
             let mut response = match framing {
-                _ if over => front.too_many(),
+                _ if over => front.too_many(&request),
                 Framing::Both => front.contradicting(),
                 Framing::Length | Framing::Chunks => front.handle(request).await,
             };
@@ -165,16 +169,17 @@
             Ok::<_, Infallible>(response.map(|body| Marked::new(body, answering)))
         }
     });
+    let mut ending = *phase.borrow() == Phase::Away;
     let mut builder = hyper::server::conn::http1::Builder::new();
-    builder.timer(TokioTimer::new()).max_buf_size(limits.buffer).keep_alive(!over);
+    builder.timer(TokioTimer::new()).max_buf_size(limits.buffer).keep_alive(!over && !ending);
     let io = TokioIo::new(Watched(standing.clone()));
     let mut served = std::pin::pin!(builder.serve_connection(io, service));
     let result = loop {
         tokio::select! {
             result = &mut served => break result,
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            () = sent_away(&mut phase, &standing), if !ending => {
+                ending = true;
                 served.as_mut().graceful_shutdown();
-                break served.await;
             }
             () = standing.asked_to_close() => {
                 if standing.in_request() {
@@ -204,6 +209,18 @@
     }
 }
 
+/// Waits until connections are to close after the answer in hand, and nothing waits unread on this one: a
+/// request that was on its way would meet a reset.
+async fn sent_away(phase: &mut watch::Receiver<Phase>, standing: &Standing) {
+    // Without a sender there is nobody to end what is served.
+    if phase.wait_for(|phase| matches!(phase, Phase::Away | Phase::Closing)).await.is_err() {
+        return std::future::pending().await;
+    }
+    while !standing.is_answering() && standing.has_news() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
 /// Reads on for a while what a client still sends, so that the answer that came before its end reaches it:
 /// closed with bytes unread, the connection would be reset and the answer with it.
 async fn linger(stream: &TcpStream, buffer: usize) {
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -1,6 +1,6 @@
 //! A connection to an engine that knows how much of a request has been written to it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -20,11 +20,14 @@
     /// Length of the head, once it was written.
     head: Cell<Option<usize>>,
     body: Cell<usize>,
+    /// Where it is counted once its last byte was written.
+    tally: RefCell<Option<Rc<Cell<u64>>>>,
 }
 
 impl Meter {
-    /// A new request with a body of that length.
-    pub(super) fn begin(&self, body: usize) {
+    /// A new request with a body of that length, counted there once it was written whole.
+    pub(super) fn begin(&self, body: usize, tally: Option<Rc<Cell<u64>>>) {
+        self.tally.replace(tally);
         self.written.set(0);
         self.matched.set(0);
         self.head.set(None);
@@ -46,6 +49,11 @@
             }
         }
         self.written.set(self.written.get() + bytes.len());
+        if self.is_complete()
+            && let Some(tally) = self.tally.take()
+        {
+            tally.set(tally.get() + 1);
+        }
     }
 
     /// Whether the last byte of the request was written: from then on it may run.
@@ -136,7 +144,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::Meter;
+    use super::{Cell, Meter, Rc};
     use rstest::rstest;
 
     // "Never ran" is claimed only up to the last byte: one byte less is the whole difference.
@@ -148,10 +156,11 @@
     #[case::blank_line_in_the_body(&["POST / HTTP/1.1\r\n\r\n", "\r\n\r\n"], 5, false)]
     fn meter_knows_the_last_byte(#[case] writes: &[&str], #[case] body: usize, #[case] complete: bool) {
         let meter = Meter::default();
-        meter.begin(body);
+        let tally = Rc::new(Cell::new(0));
+        meter.begin(body, Some(tally.clone()));
         for write in writes {
             meter.count(write.as_bytes());
         }
-        assert_eq!(meter.is_complete(), complete);
+        assert_eq!((meter.is_complete(), tally.get()), (complete, u64::from(complete)));
     }
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -70,7 +70,7 @@
 
 fn listed(number: u32, kind: usize, endpoint: &str, condition: Condition) -> Listed {
     let entry = Entry { server: ServerId(number), kind, condition, ..Entry::default() };
-    Listed { entry, endpoint: Arc::from(endpoint) }
+    Listed { entry, name: number.to_string().into(), endpoint: Arc::from(endpoint) }
 }
 
 fn change(form: RosterForm, engines: Vec<Listed>) -> Change {
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -1,7 +1,8 @@
 //! Stand-ins on loopback: engines of each kind, discovery, and a client; and the daemon between them.
 #![allow(dead_code)] // each test file uses its own part
 
-use meadowlug::config::{Config, Inference, Reload};
+use meadowlug::config::{Config, Inference, Reload, Shared};
+use meadowlug::daemon::Operation;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -289,6 +290,7 @@
 /// A running daemon.
 pub struct Daemon {
     pub address: SocketAddr,
+    pub management: SocketAddr,
     pub stop: Rc<Notify>,
     pub ended: tokio::task::JoinHandle<()>,
     config: Value,
@@ -323,6 +325,10 @@
             inference.map(|file| Inference::decode(file.to_string().as_bytes()).expect("a lawful file"));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
+        let operators = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let management = operators.local_addr().expect("an address");
+        let shared = Shared::new(None, "n0").expect("nothing to read");
+        let operation = Operation { management: Some(operators), shared };
         let stop = Rc::new(Notify::new());
         let asked = stop.clone();
         let ended = spawn_local(async move {
@@ -330,12 +336,12 @@
                 asked.notified().await;
                 Ok(())
             };
-            meadowlug::daemon::run(config, inference, Some(reload), listener, stop)
+            meadowlug::daemon::run(config, inference, Some(reload), listener, operation, stop)
                 .await
                 .expect("a clean end");
         });
         until("ready", async || ask(address, "GET", "/ready", &[], "").await.status == 200).await;
-        Self { address, stop, ended, config: told, file, hangup }
+        Self { address, management, stop, ended, config: told, file, hangup }
     }
 
     /// Has the daemon read a configuration again that names another address for discovery.
