Answer at a stop what was open before it, and call no writer silent that answers others

Checked: outcomes by second and role of both logs; the roster (8 writers: 3 draining, 2 out by hand, 2 cold). Ruled out: the releases themselves (none failed) and the engines (the same writers answered others). At fault: driver.rs capped by the departure only what came after it; choice.rs well() left a writer out for one request that had waited half a second, though it answered others, so that only cold writers were left, which take few requests by lot; writer_room() counted their room for every request.

The module hears that the gateway leaves and answers all before that; a server is silent only if nothing good has come from it for half a second; a queue is worth leaving only for a writer without one; room for a read is counted where the request may go.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -159,6 +159,8 @@
     share: Option<(Micros, f64)>,
     fails: u32,
     barred_until: Micros,
+    /// When it last answered well.
+    heard: Micros,
     /// Share of errors among its late answers, and when that was.
     errors: (Micros, f64),
 }
@@ -287,6 +289,7 @@
                 Event::Outcome(outcome) => self.take_outcome(outcome),
                 Event::Abandoned { id } => self.end(id, None),
                 Event::Settings(settings) => self.take_settings(settings),
+                Event::Leaving { within } => self.leave(*within),
                 Event::Timer { token: 0 } => self.ticking = false,
                 Event::Timer { .. } => {}
             }
@@ -430,6 +433,14 @@
         self.end(&id, Some(answer));
     }
 
+    /// What is open has no more time than the router: it is answered, and what it holds let go, before that.
+    fn leave(&mut self, within: Micros) {
+        for request in self.requests.values_mut() {
+            request.expires = request.expires.min(self.now + within);
+            request.hopeless = request.hopeless.min(request.expires);
+        }
+    }
+
     /// Looks at every open request: time up, state held too long, attempt overdue.
     fn sweep(&mut self) {
         let soon = self.now + 2 * TICK + 2 * self.settings.resolution;
@@ -472,8 +483,13 @@
         let late = OVERDUE_FLOOR_S.max(OVERDUE * (attempt.expected_s + told_s));
         let may = attempt.out && !attempt.cancelled && harmless && self.settings.may_cancel;
         let overdue = seconds(self.now - attempt.sent) >= late && left > usize::from(reading);
-        if may && overdue && self.well(reading).iter().any(|s| *s != server) {
-            self.fail_server(server);
+        let silent = self.is_silent(server);
+        // One that answers others has a queue: that is worth leaving only for a server without.
+        let better = |s: &ServerId| *s != server && (silent || reading || self.has_room(*s));
+        if may && overdue && self.well(reading).iter().any(better) {
+            if silent {
+                self.fail_server(server);
+            }
             self.recall(id);
         }
     }
@@ -632,11 +648,16 @@
 
     fn hear(&mut self, id: ServerId) {
         if let Some(server) = self.servers.get_mut(&id) {
-            (server.fails, server.barred_until) = (0, 0);
+            (server.fails, server.barred_until, server.heard) = (0, 0, self.now);
             server.errors = (self.now, SUCCESS_LEAVES * server.error_share(self.now));
         }
     }
 
+    /// Whether nothing good has come from a server for a while; what waits longer may just be queued there.
+    fn is_silent(&self, id: ServerId) -> bool {
+        self.servers.get(&id).is_none_or(|s| seconds(self.now - s.heard) > OVERDUE_FLOOR_S)
+    }
+
     fn out(&self, id: ServerId) -> Out {
         self.outs.get(&id).copied().unwrap_or_default()
     }
@@ -678,7 +699,7 @@
         let mut open: Vec<_> = self.listed(reading).collect();
         let well = |(id, s): &(ServerId, &Server)| {
             let out = self.out(*id);
-            let silent = out.oldest_s > OVERDUE_FLOOR_S && out.oldest_ratio > OVERDUE;
+            let silent = out.oldest_s > OVERDUE_FLOOR_S && out.oldest_ratio > OVERDUE && self.is_silent(*id);
             let trial = s.fails > 0 && out.attempts > 0;
             self.now >= s.barred_until && !silent && !trial && s.error_share(self.now) < ERROR_MOST
         };
@@ -819,7 +840,7 @@
         if self.listed(true).next().is_none() {
             return self.choose_alone(request);
         }
-        if !self.writer_room() {
+        if !self.writer_room(request) {
             return None;
         }
         let readers = self.listed(true).map(|(id, _)| id);
@@ -930,8 +951,8 @@
 
     /// Whether what is being read has a writer to go to: no more is read than the writers that do not
     /// make this router wait have memory for. With nothing out a router always tries, to hear again.
-    fn writer_room(&self) -> bool {
-        let well = self.well(false);
+    fn writer_room(&self, request: &Request) -> bool {
+        let well = self.candidates(request, false);
         let mut room = 0.0;
         for (id, share) in self.shares(&well) {
             if self.has_room(id) {
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -65,6 +65,7 @@
     Ended { id: RequestId, attempt: u32, end: End },
     Closed { id: RequestId, attempt: u32 },
     Changed(Change),
+    Leaving(Departure),
 }
 
 /// Hands requests to a running driver.
@@ -120,6 +121,8 @@
     /// The gateway stops: what comes from now on is answered in time, and running answers are handed over.
     pub fn leave(&self, departure: Departure) {
         self.leaving.set(Some(departure));
+        // A driver that has stopped has nothing open.
+        let _ = self.inbox.send(Input::Leaving(departure));
     }
 
     /// Hands the driver news of its settings or roster.
@@ -310,6 +313,7 @@
                 self.attempt_over(id, attempt, Status::Cancelled, 0.0, Load::default());
             }
             Input::Changed(change) => self.take_change(change),
+            Input::Leaving(departure) => self.take_leaving(departure),
         }
     }
 
@@ -454,6 +458,18 @@
         }
     }
 
+    /// What was taken before has no more time than what comes now: nothing may be left, and no state held,
+    /// when the process ends.
+    fn take_leaving(&mut self, departure: Departure) {
+        let left = departure.answers_by.saturating_duration_since(Instant::now());
+        let within = left.as_micros() as Micros;
+        let by = self.clock.now() + within;
+        for open in self.open.values_mut() {
+            open.expires = open.expires.min(by);
+        }
+        self.route.tell(Event::Leaving { within });
+    }
+
     // ---- What is to be done ----
 
     fn carry_out(&mut self, now: Micros, action: Action) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -285,6 +285,11 @@
         /// Which request.
         id: RequestId,
     },
+    /// This router is about to be stopped: what is open must have its answer within the span.
+    Leaving {
+        /// The span.
+        within: Micros,
+    },
     /// The settings have changed.
     Settings(Settings),
     /// A timer came due.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -188,6 +188,23 @@
     .await;
 }
 
+// What was open before the stop was still being worked on when the process was killed: its client got no
+// answer, and the states that it had read stayed where they were.
+#[tokio::test(start_paused = true)]
+async fn what_was_taken_before_is_answered_too_when_the_gateway_leaves() {
+    local(async {
+        let gateway = started(&Fake::default());
+        let ticket = gateway.submit(submission("a")).expect("taken");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let answers_by = tokio::time::Instant::now() + Duration::from_secs(1);
+        gateway.leave(Departure { answers_by, hand_over: None });
+        let answer = ticket.answer().await;
+        assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+        assert!(tokio::time::Instant::now() < answers_by);
+    })
+    .await;
+}
+
 // Settings reach a running driver as the roster does, by a change; what was learnt stays.
 #[tokio::test]
 async fn changed_settings_hold_from_then_on() {
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -48,6 +48,45 @@
     assert_eq!(sends(&actions, "more").len(), 1, "held for good");
 }
 
+// One request that waited long had a writer left out that answered all others: what was read for it found
+// no writer, was let go and read again.
+#[test]
+fn writer_that_answers_others_is_not_left_out_for_one_that_waits() {
+    let mut h = Harness::new(settings(), &[1, 2]);
+    let cold = Entry { started_at: h.now - 100_000, ..entry(12) };
+    h.roster(vec![entry(1), entry(2), entry(11), cold]);
+    h.ask(Arrival { class: 1, ..arrival("waits") });
+    assert_eq!(sends(&h.read("waits", 0), "waits"), [11]);
+    h.ask(arrival("b"));
+    h.read("b", 0);
+    assert_eq!(sends(&h.ask(arrival("c")), "c").len(), 1);
+    h.wait(500_000);
+    h.first("b", 1);
+    h.wait(100_000);
+    assert_eq!(sends(&h.read("c", 0), "c"), [11]);
+}
+
+// Room at a writer just started let everything be read, though it takes only the few that its lot allows: the
+// others were read for nobody.
+#[test]
+fn nothing_is_read_where_only_writers_that_may_not_take_it_have_room() {
+    let mut h = Harness::new(settings(), &[1, 2]);
+    let cold = Entry { started_at: h.now - 100_000, ..entry(12) };
+    h.roster(vec![entry(1), entry(2), entry(11), cold]);
+    let names: Vec<_> = (0..24).map(|n| n.to_string()).collect();
+    for name in &names[..3] {
+        h.ask(arrival(name));
+        h.read(name, 0);
+    }
+    h.wait(320_000);
+    let asked = names[3..].iter().filter(|name| !sends(&h.ask(arrival(name)), name).is_empty());
+    let read: Vec<_> = asked.collect();
+    assert!(!read.is_empty(), "some may go to the one that is cold");
+    for name in read {
+        assert_eq!(sends(&h.read(name, 0), name), [12], "read for nobody");
+    }
+}
+
 #[test]
 fn silent_reader_does_not_keep_what_it_was_given() {
     let mut h = Harness::new(settings(), &[1, 2, 11]);
