Say that a new process takes clients only once the old one can know it

Seen: in one of four upgrades the old process logged 'stopping superseded=false' and went on taking clients: it was told to stop within 5 ms of the new one's yes, before the claim was written down. At fault: management.rs readiness() asked only whether engines are listed, daemon.rs claimed a tick later. Ruled out: the folder (the claim was there afterwards). Readiness now waits for the claim.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::gateway::{self, Changes, Departure, Gateway, News, Tuning};
 use crate::interface::Settings;
 use crate::net::{self, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
+use std::cell::Cell;
 use std::error::Error;
 use std::future::Future;
 use std::rc::Rc;
@@ -119,8 +120,9 @@
     }
 }
 
-/// Lets the other process of this gateway know as soon as this one can serve.
-fn claim_when_ready(chat: &Gateway<HttpEngines>, shared: &config::Shared) {
+/// Lets the other process of this gateway know as soon as this one can serve, and then says so: whoever hears
+/// that this one takes clients may stop the other at once.
+fn claim_when_ready(chat: &Gateway<HttpEngines>, shared: &config::Shared, claimed: Rc<Cell<bool>>) {
     let (chat, shared) = (chat.clone(), shared.clone());
     tokio::task::spawn_local(async move {
         while !chat.can_serve() {
@@ -129,6 +131,7 @@
         if let Err(error) = shared.claim() {
             log::warn!("claim not written down {error}");
         }
+        claimed.set(true);
     });
 }
 
@@ -183,6 +186,7 @@
     });
     let (phase, phases) = watch::channel(Phase::Serving);
     let phase = Rc::new(phase);
+    let claimed = Rc::new(Cell::new(false));
     if let Some(listener) = management {
         let front = Management {
             gateway: chat.clone(),
@@ -190,6 +194,7 @@
             tries,
             shared: shared.clone(),
             phase: phase.clone(),
+            claimed: claimed.clone(),
         };
         let limits = ServeLimits {
             connections: bounds.management.0,
@@ -224,7 +229,7 @@
         idle: CLIENT_IDLE,
         idle_least: CLIENT_IDLE_LEAST,
     };
-    claim_when_ready(&chat, &shared);
+    claim_when_ready(&chat, &shared, claimed);
     let served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, phases));
     tokio::select! {
         Some(how) = drivers_end.recv() => return Err(format!("a driver ended: {how}").into()),
--- a/src/front/management.rs
+++ b/src/front/management.rs
@@ -33,6 +33,8 @@
     pub shared: Shared,
     /// How far a drain or a stop has come.
     pub phase: Rc<watch::Sender<Phase>>,
+    /// Whether it is written down that this process takes clients.
+    pub claimed: Rc<Cell<bool>>,
 }
 
 /// A call as operators make it.
@@ -72,7 +74,7 @@
 impl Management {
     fn readiness(&self) -> Response<FrontBody> {
         let stops = matches!(*self.phase.borrow(), Phase::Leaving | Phase::Closing);
-        if !stops && self.gateway.can_serve() {
+        if !stops && self.claimed.get() && self.gateway.can_serve() {
             done()
         } else {
             reply::error(StatusCode::SERVICE_UNAVAILABLE, "takes no clients")
