Share what the change wrote twice, and drop state that was derived; behaviour as before

Seen on a read of the whole change: - front/mod.rs and management.rs both built the answer to a wrong method, and the figures an answer in one piece: reply::not_allowed and reply::whole serve both. - daemon.rs carried 'claimed' beside the folder that knows of the claim: Shared::is_claimed. A fixed discovery address was made twice: fixed(). - management.rs drain() named its phases three times over: lead_on(), and Phase::is_stop for two checks. - book.rs matched an end twice, and counted running answers into nothing; serve.rs spawned in two arms. - roster.rs cloned an entry for each look at its condition, also before every send: condition(). - config/shared.rs looked 20 times a second for orders where there is no folder to look in: it ends there. - choice.rs had two pairs of arms that share their body. - platform.rs counted a refusal in two places. Left: small async read and write wrappers in clients.rs and transport.rs already call the same functions; test preambles are each file's own world.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -553,30 +553,22 @@
             self.hear_queue(known.entry.zone, took / self.slope());
         }
         match status {
-            Status::Read => {
-                self.fit.learn(self.now, uncached, took);
-                self.hear(server);
-            }
-            Status::Served => {
-                if phase == Phase::Writing(None) {
-                    // Answered in one piece: the whole of it is what a server takes that does all by itself.
+            Status::Read | Status::Served => {
+                // Answered in one piece: the whole of it is what a server takes that does all by itself.
+                if status == Status::Read || phase == Phase::Writing(None) {
                     self.fit.learn(self.now, uncached, took);
                 }
                 self.hear(server);
             }
             Status::TimedOut if outcome.finished => {}
-            Status::Error => {
+            Status::Error | Status::Reset | Status::NoConnection | Status::TimedOut => {
                 self.kept.remove(&(session_lot, server));
                 self.fail_server(server);
-                if let Some(server) = self.servers.get_mut(&server) {
+                if let (Status::Error, Some(server)) = (status, self.servers.get_mut(&server)) {
                     let share = server.error_share(self.now);
                     server.errors = (self.now, share + ERROR_STEP * (1.0 - share));
                 }
             }
-            Status::Reset | Status::NoConnection | Status::TimedOut => {
-                self.kept.remove(&(session_lot, server));
-                self.fail_server(server);
-            }
             Status::Full if note < 1.0 => self.fail_server(server),
             _ => {}
         }
--- a/src/config/shared.rs
+++ b/src/config/shared.rs
@@ -2,7 +2,7 @@
 //! operators have ordered, and which process takes clients.
 
 use crate::gateway::{Change, Changes, News};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -25,6 +25,7 @@
     folder: Option<Rc<Path>>,
     /// Tells this process from the others.
     mark: Rc<str>,
+    claimed: Rc<Cell<bool>>,
     withheld: Rc<RefCell<Engines>>,
 }
 
@@ -37,7 +38,8 @@
             fs::create_dir_all(folder)?;
         }
         let mark = format!("{}-{}", std::process::id(), crate::gateway::Clock::default().now());
-        let shared = Self { folder: folder.map(Rc::from), mark: mark.into(), withheld: Rc::default() };
+        let (claimed, withheld) = (Rc::default(), Rc::default());
+        let shared = Self { folder: folder.map(Rc::from), mark: mark.into(), claimed, withheld };
         shared.look()?;
         Ok(shared)
     }
@@ -88,9 +90,16 @@
         Ok(())
     }
 
-    /// This process takes clients from now on.
+    /// This process takes clients from now on, also where that cannot be written down.
     pub fn claim(&self) -> io::Result<()> {
-        self.write(SERVING, self.mark.as_bytes())
+        let written = self.write(SERVING, self.mark.as_bytes());
+        self.claimed.set(true);
+        written
+    }
+
+    /// Whether this process has begun to take clients.
+    pub fn is_claimed(&self) -> bool {
+        self.claimed.get()
     }
 
     /// Whether another process has begun to take clients since.
@@ -115,6 +124,10 @@
 impl Changes for Orders {
     async fn next(&mut self) -> Option<Change> {
         let mut changed = self.revision == 0;
+        if !changed && self.shared.folder.is_none() {
+            // Without a folder there is no other process to hear of.
+            return None;
+        }
         while !changed {
             tokio::time::sleep(LOOK_EVERY).await;
             changed = self.shared.look().unwrap_or_else(|error| {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,7 +5,6 @@
 use crate::gateway::{self, Changes, Departure, Gateway, News, Tuning};
 use crate::interface::Settings;
 use crate::net::{self, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
-use std::cell::Cell;
 use std::error::Error;
 use std::future::Future;
 use std::rc::Rc;
@@ -67,6 +66,11 @@
     tuning
 }
 
+/// An address that stays.
+fn fixed(address: &str) -> watch::Receiver<Arc<str>> {
+    watch::Sender::new(Arc::from(address)).subscribe()
+}
+
 /// Starts drivers, and tells when one has ended.
 struct Drivers {
     pool: Rc<Pool>,
@@ -105,8 +109,7 @@
             let most = self.bounds.answer_bytes;
             let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false, most);
             let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
-            let address = watch::Sender::new(Arc::from(pool.discovery.as_str())).subscribe();
-            let roster = Watch::new(address, names, pool.known.clone());
+            let roster = Watch::new(fixed(&pool.discovery), names, pool.known.clone());
             let gateway = self.start(&pool.model, file.settings(pool), tuning, engines, roster)?;
             models.push(Model {
                 name: pool.model.clone(),
@@ -122,7 +125,7 @@
 
 /// Lets the other process of this gateway know as soon as this one can serve, and then says so: whoever hears
 /// that this one takes clients may stop the other at once.
-fn claim_when_ready(chat: &Gateway<HttpEngines>, shared: &config::Shared, claimed: Rc<Cell<bool>>) {
+fn claim_when_ready(chat: &Gateway<HttpEngines>, shared: &config::Shared) {
     let (chat, shared) = (chat.clone(), shared.clone());
     tokio::task::spawn_local(async move {
         while !chat.can_serve() {
@@ -131,7 +134,6 @@
         if let Err(error) = shared.claim() {
             log::warn!("claim not written down {error}");
         }
-        claimed.set(true);
     });
 }
 
@@ -164,8 +166,7 @@
     let drivers = Drivers { pool: pool.clone(), bounds, seed: config.seed, ended };
     let engines = HttpEngines::new(pool.clone(), config.load.clone(), true, bounds.answer_bytes);
     let tries = engines.tries();
-    let fixed = || watch::Sender::new(Arc::from(config.discovery.as_str())).subscribe();
-    let address = reload.as_ref().map_or_else(fixed, config::Reload::discovery);
+    let address = reload.as_ref().map_or_else(|| fixed(&config.discovery), config::Reload::discovery);
     let roster = Watch::new(address, config.names.clone(), config.known);
     let classes = config.settings.classes.clone();
     let longest = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
@@ -186,7 +187,6 @@
     });
     let (phase, phases) = watch::channel(Phase::Serving);
     let phase = Rc::new(phase);
-    let claimed = Rc::new(Cell::new(false));
     if let Some(listener) = management {
         let front = Management {
             gateway: chat.clone(),
@@ -194,7 +194,6 @@
             tries,
             shared: shared.clone(),
             phase: phase.clone(),
-            claimed: claimed.clone(),
         };
         let limits = ServeLimits {
             connections: bounds.management.0,
@@ -229,7 +228,7 @@
         idle: CLIENT_IDLE,
         idle_least: CLIENT_IDLE_LEAST,
     };
-    claim_when_ready(&chat, &shared, claimed);
+    claim_when_ready(&chat, &shared);
     let served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, phases));
     tokio::select! {
         Some(how) = drivers_end.recv() => return Err(format!("a driver ended: {how}").into()),
--- a/src/front/management.rs
+++ b/src/front/management.rs
@@ -7,7 +7,7 @@
 use crate::net::{Front, FrontBody, HttpEngines, Phase};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{ALLOW, CONNECTION, CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use std::cell::Cell;
 use std::fmt::Write;
@@ -33,8 +33,6 @@
     pub shared: Shared,
     /// How far a drain or a stop has come.
     pub phase: Rc<watch::Sender<Phase>>,
-    /// Whether it is written down that this process takes clients.
-    pub claimed: Rc<Cell<bool>>,
 }
 
 /// A call as operators make it.
@@ -49,16 +47,15 @@
 /// What a path and its method ask for, or which method the path wants.
 fn order(method: &Method, path: &str) -> Result<Order, Option<&'static str>> {
     let (wanted, order) = match path {
-        "/ops/readiness" => (Method::GET, Order::Readiness),
-        "/ops/stats" => (Method::GET, Order::Stats),
-        "/ops/engines/down" => (Method::POST, Order::Engine { out: true }),
-        "/ops/engines/up" => (Method::POST, Order::Engine { out: false }),
-        "/ops/drain/start" => (Method::POST, Order::Drain { start: true }),
-        "/ops/drain/stop" => (Method::POST, Order::Drain { start: false }),
+        "/ops/readiness" => ("GET", Order::Readiness),
+        "/ops/stats" => ("GET", Order::Stats),
+        "/ops/engines/down" => ("POST", Order::Engine { out: true }),
+        "/ops/engines/up" => ("POST", Order::Engine { out: false }),
+        "/ops/drain/start" => ("POST", Order::Drain { start: true }),
+        "/ops/drain/stop" => ("POST", Order::Drain { start: false }),
         _ => return Err(None),
     };
-    let allowed = if wanted == Method::GET { "GET" } else { "POST" };
-    if *method == wanted { Ok(order) } else { Err(Some(allowed)) }
+    if method.as_str() == wanted { Ok(order) } else { Err(Some(wanted)) }
 }
 
 /// The engine that a query names.
@@ -67,14 +64,22 @@
     pairs.find(|(name, _)| name == "host").map(|(_, id)| id.into_owned()).filter(|id| !id.is_empty())
 }
 
+/// Leads on to the next phase, where there is one from the phase as it is; whether there was.
+fn lead_on(phase: &watch::Sender<Phase>, next: impl Fn(Phase) -> Option<Phase>) -> bool {
+    phase.send_if_modified(|phase| {
+        let next = next(*phase);
+        *phase = next.unwrap_or(*phase);
+        next.is_some()
+    })
+}
+
 fn done() -> Response<FrontBody> {
     reply::json(StatusCode::OK, Bytes::from_static(b"{\"done\":true}"))
 }
 
 impl Management {
     fn readiness(&self) -> Response<FrontBody> {
-        let stops = matches!(*self.phase.borrow(), Phase::Leaving | Phase::Closing);
-        if !stops && self.claimed.get() && self.gateway.can_serve() {
+        if !self.phase.borrow().is_stop() && self.shared.is_claimed() && self.gateway.can_serve() {
             done()
         } else {
             reply::error(StatusCode::SERVICE_UNAVAILABLE, "takes no clients")
@@ -106,10 +111,7 @@
         line("in_progress", "gauge", &plain(figures.open as u64));
         line("known_engines", "gauge", &plain(figures.listed as u64));
         line("skipped_engines", "gauge", &plain(figures.avoided as u64));
-        let mut response = Response::new(FrontBody::Whole(Some(text.into())));
-        let kind = HeaderValue::from_static("text/plain; version=0.0.4");
-        response.headers_mut().insert(CONTENT_TYPE, kind);
-        response
+        reply::whole(StatusCode::OK, "text/plain; version=0.0.4", text.into())
     }
 
     fn engine(&self, id: Option<&str>, out: bool) -> Response<FrontBody> {
@@ -130,15 +132,10 @@
     }
 
     fn drain(&self, start: bool) -> Response<FrontBody> {
-        let drained = |phase: &Phase| matches!(phase, Phase::Draining | Phase::Away);
-        let (from, to) =
-            if start { (Phase::Serving, Phase::Draining) } else { (Phase::Draining, Phase::Serving) };
-        let changed = self.phase.send_if_modified(|phase| {
-            let changes = *phase == from || drained(phase) && !start;
-            if changes {
-                *phase = to;
-            }
-            changes
+        let changed = lead_on(&self.phase, |phase| match phase {
+            Phase::Serving if start => Some(Phase::Draining),
+            Phase::Draining | Phase::Away if !start => Some(Phase::Serving),
+            _ => None,
         });
         if changed {
             log::info!("drain start={start} open={}", self.gateway.open());
@@ -147,16 +144,10 @@
             let phase = self.phase.clone();
             tokio::task::spawn_local(async move {
                 tokio::time::sleep(NOTICED).await;
-                phase.send_if_modified(|phase| {
-                    let due = *phase == Phase::Draining;
-                    if due {
-                        *phase = Phase::Away;
-                    }
-                    due
-                });
+                lead_on(&phase, |phase| (phase == Phase::Draining).then_some(Phase::Away));
             });
         }
-        if start && matches!(*self.phase.borrow(), Phase::Leaving | Phase::Closing) {
+        if start && self.phase.borrow().is_stop() {
             return reply::error(StatusCode::CONFLICT, "the gateway stops");
         }
         done()
@@ -171,11 +162,7 @@
             Ok(Order::Stats) => self.stats(),
             Ok(Order::Engine { out }) => self.engine(host(uri.query()).as_deref(), out),
             Ok(Order::Drain { start }) => self.drain(start),
-            Err(Some(allowed)) => {
-                let mut response = reply::error(StatusCode::METHOD_NOT_ALLOWED, "no such method here");
-                response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
-                response
-            }
+            Err(Some(allowed)) => reply::not_allowed(allowed),
             Err(None) => reply::error(StatusCode::NOT_FOUND, "no such path"),
         };
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -15,8 +15,7 @@
 use crate::net::{Front, FrontBody, Phase};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{ALLOW, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use tokio::sync::watch;
 
 /// All that one listener answers, by path.
@@ -45,20 +44,17 @@
         let path = request.uri().path();
         let inference = self.inference.as_ref().and_then(|front| Some((front, Inference::api(path)?)));
         let wanted = match path {
-            "/ready" => Method::GET,
-            "/v1/chat/completions" => Method::POST,
-            _ if inference.is_some() => Method::POST,
+            "/ready" => "GET",
+            "/v1/chat/completions" => "POST",
+            _ if inference.is_some() => "POST",
             _ => return reply::error(StatusCode::NOT_FOUND, "no such path"),
         };
-        if request.method() != wanted {
-            let mut response = reply::error(StatusCode::METHOD_NOT_ALLOWED, "no such method here");
-            let allowed = if wanted == Method::GET { "GET" } else { "POST" };
-            response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
-            return response;
+        if request.method().as_str() != wanted {
+            return reply::not_allowed(wanted);
         }
         match inference {
             Some((front, api)) => reply::whole_seconds(front.call(api, request).await),
-            None if wanted == Method::GET => self.ready(),
+            None if wanted == "GET" => self.ready(),
             None => self.platform.chat(request).await,
         }
     }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -35,7 +35,11 @@
 
     /// Counts a request that is refused before the core has seen it.
     pub(super) fn turned_away(&self, headers: &HeaderMap) {
-        if let Some(class) = self.class(headers) {
+        self.refused(self.class(headers));
+    }
+
+    fn refused(&self, class: Option<usize>) {
+        if let Some(class) = class {
             self.gateway.count(class, Fate::Refused);
         }
     }
@@ -46,8 +50,8 @@
         match self.take(request).await {
             Ok(ticket) => reply::respond(ticket.answer().await),
             Err(response) => {
-                if let Some(class) = class.filter(|_| response.status() == StatusCode::SERVICE_UNAVAILABLE) {
-                    self.gateway.count(class, Fate::Refused);
+                if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+                    self.refused(class);
                 }
                 response
             }
--- a/src/front/reply.rs
+++ b/src/front/reply.rs
@@ -4,20 +4,25 @@
 use crate::interface::Micros;
 use crate::net::{FrontBody, HttpEvents};
 use bytes::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 /// When to come back after the gateway itself had no room.
 const BUSY_RETRY: Micros = 500_000;
 
-/// An answer in one piece.
-pub(super) fn json(status: StatusCode, body: Bytes) -> Response<FrontBody> {
+/// An answer in one piece, of that content type.
+pub(super) fn whole(status: StatusCode, kind: &'static str, body: Bytes) -> Response<FrontBody> {
     let mut response = Response::new(FrontBody::Whole(Some(body)));
     *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     response
 }
 
+/// An answer in JSON.
+pub(super) fn json(status: StatusCode, body: Bytes) -> Response<FrontBody> {
+    whole(status, "application/json", body)
+}
+
 /// An error in the API's error body.
 pub(super) fn error(status: StatusCode, message: &str) -> Response<FrontBody> {
     let kind = match status {
@@ -30,6 +35,13 @@
     json(status, body.to_string().into())
 }
 
+/// The answer to a method that a path does not take, with the one that it does.
+pub(super) fn not_allowed(allowed: &'static str) -> Response<FrontBody> {
+    let mut response = error(StatusCode::METHOD_NOT_ALLOWED, "no such method here");
+    response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
+    response
+}
+
 /// The answer to a head that gives two lengths.
 pub(super) fn contradicting() -> Response<FrontBody> {
     error(StatusCode::BAD_REQUEST, "both transfer-encoding and content-length")
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -63,18 +63,19 @@
     /// Answers all who wait. Only the first can have a running answer.
     pub(super) fn answer(&self, class: usize, callers: Vec<Caller<E::Events>>, answer: Answer<E::Events>) {
         let mut counts = self.counts.borrow_mut();
-        let (count, fate) = match &answer {
-            Answer::Events(_) => (&mut 0, None),
-            Answer::Whole(_) => (&mut counts.served, Some(Fate::Served)),
-            Answer::Faulty(_) => (&mut counts.faulty, Some(Fate::Failed)),
-            Answer::Refused { .. } => (&mut counts.refused, Some(Fate::Refused)),
-            Answer::Failed { .. } => (&mut counts.failed, Some(Fate::Failed)),
+        let noted = match &answer {
+            // It is noted when it has ended.
+            Answer::Events(_) => None,
+            Answer::Whole(_) => Some((&mut counts.served, Fate::Served)),
+            Answer::Faulty(_) => Some((&mut counts.faulty, Fate::Failed)),
+            Answer::Refused { .. } => Some((&mut counts.refused, Fate::Refused)),
+            Answer::Failed { .. } => Some((&mut counts.failed, Fate::Failed)),
         };
-        *count += 1;
-        drop(counts);
-        if let Some(fate) = fate {
+        if let Some((count, fate)) = noted {
+            *count += 1;
             self.counter.count(class, fate);
         }
+        drop(counts);
         let mut callers = callers.into_iter();
         let first = callers.next();
         callers.for_each(|caller| caller.take(answer.again()));
@@ -85,20 +86,19 @@
 
     /// A running answer has ended.
     pub(super) fn ended(&self, class: usize, id: &RequestId, end: &End) {
-        match end {
-            End::Whole => self.counter.count(class, Fate::Served),
-            End::Broke(_) | End::HandedOver => self.counter.count(class, Fate::Failed),
-            End::ClientGone => {}
-        }
         let mut counts = self.counts.borrow_mut();
-        match end {
-            End::Whole => counts.served += 1,
-            End::ClientGone => counts.abandoned += 1,
-            End::HandedOver => counts.handed_over += 1,
+        let (count, fate) = match end {
+            End::Whole => (&mut counts.served, Some(Fate::Served)),
+            End::ClientGone => (&mut counts.abandoned, None),
+            End::HandedOver => (&mut counts.handed_over, Some(Fate::Failed)),
             End::Broke(error) => {
-                counts.broken += 1;
                 log::warn!("stream broken request={} {error}", id.0);
+                (&mut counts.broken, Some(Fate::Failed))
             }
+        };
+        *count += 1;
+        if let Some(fate) = fate {
+            self.counter.count(class, fate);
         }
     }
 
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -91,13 +91,17 @@
         unused
     }
 
-    /// An entry as it is to be used: one that is withheld counts as draining.
-    pub(super) fn as_used(&self, listed: &Listed) -> Entry {
-        let mut entry = listed.entry.clone();
-        if entry.condition == Condition::Ready && self.withheld.borrow().contains(&listed.name) {
-            entry.condition = Condition::Draining;
+    /// The condition that counts: one that is withheld drains.
+    fn condition(&self, listed: &Listed) -> Condition {
+        match listed.entry.condition {
+            Condition::Ready if self.withheld.borrow().contains(&listed.name) => Condition::Draining,
+            condition => condition,
         }
-        entry
+    }
+
+    /// An entry as it is to be used.
+    pub(super) fn as_used(&self, listed: &Listed) -> Entry {
+        Entry { condition: self.condition(listed), ..listed.entry.clone() }
     }
 
     /// Takes over which engines are withheld; gives the entries that change by it, as they are to be used.
@@ -132,14 +136,14 @@
 
     fn is_ready(&self, server: ServerId) -> bool {
         let engines = self.engines.borrow();
-        engines.get(&server).is_some_and(|l| self.as_used(l).condition == Condition::Ready)
+        engines.get(&server).is_some_and(|l| self.condition(l) == Condition::Ready)
     }
 
     /// The kinds of the engines that take work.
     pub(super) fn ready_kinds(&self) -> Vec<usize> {
         let engines = self.engines.borrow();
-        let used = engines.values().map(|l| self.as_used(l));
-        used.filter(|entry| entry.condition == Condition::Ready).map(|entry| entry.kind).collect()
+        let ready = engines.values().filter(|l| self.condition(l) == Condition::Ready);
+        ready.map(|l| l.entry.kind).collect()
     }
 }
 
--- a/src/net/inherited.rs
+++ b/src/net/inherited.rs
@@ -1,6 +1,6 @@
 //! The clients' listening socket where the platform holds it and hands it on to each process.
 
-use rustix::process::{Pid, PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
 use std::io;
 use std::net::TcpListener;
 
@@ -12,8 +12,7 @@
     let wrong =
         |what: &str| io::Error::new(io::ErrorKind::InvalidInput, format!("descriptor {number}: {what}"));
     let number = number.trim().parse::<u16>().map_err(|_| wrong("not a number"))?.into();
-    let own: Pid = getpid();
-    let process = pidfd_open(own, PidfdFlags::empty())?;
+    let process = pidfd_open(getpid(), PidfdFlags::empty())?;
     let socket = pidfd_getfd(process, number, PidfdGetfdFlags::empty())?;
     if !socket2::SockRef::from(&socket).is_listener()? {
         return Err(wrong("not a listening socket"));
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -48,6 +48,13 @@
     Closing,
 }
 
+impl Phase {
+    /// Whether the process was asked to stop.
+    pub fn is_stop(self) -> bool {
+        matches!(self, Self::Leaving | Self::Closing)
+    }
+}
+
 /// What answers requests.
 pub trait Front: 'static {
     /// Answers one request.
@@ -122,15 +129,15 @@
                 continue;
             }
         };
-        match place {
-            Place::Served(seat) => {
-                tokio::task::spawn_local(connection(seat, front, false, limits, closing));
-            }
-            Place::Turned(seat) => {
-                tokio::task::spawn_local(connection(seat, front, true, limits, closing));
+        let (seat, over) = match place {
+            Place::Served(seat) => (seat, false),
+            Place::Turned(seat) => (seat, true),
+            Place::None => {
+                log::debug!("no room for a connection");
+                continue;
             }
-            Place::None => log::debug!("no room for a connection"),
-        }
+        };
+        tokio::task::spawn_local(connection(seat, front, over, limits, closing));
     }
     drop(listener);
     while clients.open() > 0 {
