Let go of states in time and leave zones to which no connection comes up

Each of hundreds of routers learnt each engine anew. Ruled out: releases that fail everywhere (none logged), the read's own break (it ended well).

Lines at fault: take_outcome in choice.rs (`Writing(Some(reader)) => Held(reader, now)` also without a connection); `well`, which knew of servers only; Book::release, whose order knew no zones.

Change: with no connection the hold's time runs on, and after an unheard dial the state is let go and read anew; an unheard dial bars its zone like its server, until one of the zone answers, where another zone is open (a refused one, as from a full table, does not); releases go round the zones.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,6 +33,8 @@
 /// An attempt is overdue when older than this many times what was expected, and than the floor.
 const OVERDUE: f64 = 4.0;
 const OVERDUE_FLOOR_S: f64 = 0.5;
+/// Seconds after which a dial was not refused but unheard: a yes or no takes a few round trips.
+const UNHEARD_S: f64 = 0.1;
 /// Seconds from a send to a writer to its first token, before there are answers.
 const FIRST_START_S: f64 = 0.1;
 /// First and longest time a failing server is left alone; doubles in between.
@@ -97,13 +99,13 @@
     (bits >> 11) as f64 / (1u64 << 53) as f64
 }
 
-/// Where a request stands.
+/// Where a request stands; held and writing: whose state, and since when that waits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     Queued,
     Reading,
     Held(ServerId, Micros),
-    Writing(Option<ServerId>),
+    Writing(Option<(ServerId, Micros)>),
     Streaming(Micros),
     Ended,
 }
@@ -150,6 +152,23 @@
     attempts: Vec<Attempt>,
 }
 
+/// How often in a row a server or zone failed, and until when it is left alone for that.
+#[derive(Debug, Default)]
+struct Bar {
+    fails: u32,
+    until: Micros,
+}
+
+impl Bar {
+    /// One failure a pause: what was out when a server died fails together and is one piece of news.
+    fn fail(&mut self, now: Micros) {
+        if now >= self.until {
+            self.until = now + (BACK_OFF << self.fails.min(8)).min(BACK_OFF_MOST);
+            self.fails += 1;
+        }
+    }
+}
+
 /// What this router knows of one server.
 #[derive(Debug, Default)]
 struct Server {
@@ -157,8 +176,7 @@
     role: Role,
     memory: f64,
     share: Option<(Micros, f64)>,
-    fails: u32,
-    barred_until: Micros,
+    bar: Bar,
     /// When it last answered well.
     heard: Micros,
     /// Share of errors among its late answers, and when that was.
@@ -244,6 +262,8 @@
     beginnings: VecDeque<u64>,
     /// By zone: thousands of tokens that lately waited at a reader, and when that was told.
     zone_queues: BTreeMap<u32, (Micros, f64)>,
+    /// Zones to which dials went unheard since one of their servers last answered.
+    zones: BTreeMap<u32, Bar>,
     /// Part of the sessions that are read for, by their lots: the same ones stay in while room is short.
     admits: f64,
     ticking: bool,
@@ -303,8 +323,7 @@
         self.place_held();
         self.release_queued();
         self.kept.retain(|_, kept| now < kept.1 + KEPT);
-        let open = |r: &Request| r.phase != Phase::Ended || r.attempts.iter().any(|a| a.out);
-        self.requests.retain(|_, r| open(r));
+        self.requests.retain(|_, r| r.phase != Phase::Ended || r.attempts.iter().any(|a| a.out));
         // Replaced servers have new ids: what is gone and has nothing out is never asked for again.
         let attempts = || self.requests.values().flat_map(|r| &r.attempts);
         let gone = |s: &Server| s.entry.condition == Condition::Gone;
@@ -365,11 +384,8 @@
     /// Whether a refusal would be true: nothing that may have run can be repeated with harm.
     fn may_refuse(&self, request: &Request) -> bool {
         let clean = request.attempts.iter().all(|a| !a.may_have_run && !a.out);
-        match self.class(&request.ask).effect {
-            Effect::Safe => true,
-            Effect::Keyed { group, .. } => clean || group == Group::All,
-            Effect::Unsafe => clean,
-        }
+        let effect = self.class(&request.ask).effect;
+        clean || matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. })
     }
 
     /// Whether its class allows the request at the server, after what earlier attempts may have done.
@@ -488,7 +504,7 @@
         let better = |s: &ServerId| *s != server && (silent || reading || self.has_room(*s));
         if may && overdue && self.well(reading).iter().any(better) {
             if silent {
-                self.fail_server(server);
+                self.fail_server(server, false);
             }
             self.recall(id);
         }
@@ -511,8 +527,7 @@
     fn take_first(&mut self, id: &RequestId, n: u32) {
         let found = self.requests.get_mut(id);
         let Some(request) = found.filter(|r| r.phase != Phase::Ended) else { return };
-        let attempt = request.attempts.get(n as usize).filter(|a| a.out);
-        let Some(attempt) = attempt else { return };
+        let Some(attempt) = request.attempts.get(n as usize).filter(|a| a.out) else { return };
         request.phase = Phase::Streaming(self.now);
         let (server, took) = (attempt.server, seconds(self.now - attempt.sent));
         self.start_s += MEAN_STEP * (took - self.start_s);
@@ -533,24 +548,18 @@
         let (phase, session_lot) = (request.phase, request.session_lot);
         let uncached = (request.ask.prompt_tokens - note).max(0.0) / 1000.0;
         let expected_s = self.fit.predict(uncached) + attempt.behind_s;
-        let mut zone_queue = None;
-        let known = self.servers.get_mut(&server);
-        if let Some(known) = known {
-            if let Some(share) = outcome.load.memory_share {
-                known.share = Some((self.now, share));
-            }
-            if let (Role::Read, Some(queue)) = (known.role, outcome.load.queued_kilotokens) {
-                zone_queue = Some((known.entry.zone, queue));
-            }
+        if let (Some(known), Some(share)) = (self.servers.get_mut(&server), outcome.load.memory_share) {
+            known.share = Some((self.now, share));
         }
         if unread || status == Status::Read {
             self.note_read(&outcome.id, server, expected_s, took, unread);
         }
-        if let Some((zone, queue)) = zone_queue {
-            self.hear_queue(zone, queue);
-        } else if unread && let Some(known) = self.servers.get(&server) {
-            // What waited in vain tells of a queue at least as long: a jam brings few other answers.
-            self.hear_queue(known.entry.zone, took / self.slope());
+        // What waited in vain tells of a queue at least as long: a jam brings few other answers.
+        let queue = outcome.load.queued_kilotokens.or(unread.then(|| took / self.slope()));
+        if let (Some(Server { role: Role::Read, entry, .. }), Some(queue)) =
+            (self.servers.get(&server), queue)
+        {
+            self.hear_queue(entry.zone, queue);
         }
         match status {
             Status::Read | Status::Served => {
@@ -563,13 +572,13 @@
             Status::TimedOut if outcome.finished => {}
             Status::Error | Status::Reset | Status::NoConnection | Status::TimedOut => {
                 self.kept.remove(&(session_lot, server));
-                self.fail_server(server);
+                self.fail_server(server, status == NoConnection && took > UNHEARD_S);
                 if let (Status::Error, Some(server)) = (status, self.servers.get_mut(&server)) {
                     let share = server.error_share(self.now);
                     server.errors = (self.now, share + ERROR_STEP * (1.0 - share));
                 }
             }
-            Status::Full if note < 1.0 => self.fail_server(server),
+            Status::Full if note < 1.0 => self.fail_server(server, false),
             _ => {}
         }
         if phase == Phase::Ended {
@@ -579,12 +588,14 @@
         if outcome.finished {
             return self.end(id, None);
         }
-        let since = self.now;
         // After a writer failed the state still waits, unless the fetch had ended or it is gone.
         let next = match (status, phase) {
-            (Status::Read, _) => Phase::Held(server, since),
+            (Status::Read, _) => Phase::Held(server, self.now),
             (Status::Full, _) if note >= 1.0 => Phase::Queued,
-            (_, Phase::Writing(Some(reader))) => Phase::Held(reader, since),
+            // While no connection comes up the time of what is held runs on: not for a second long dial.
+            (NoConnection, Phase::Writing(_)) if took > UNHEARD_S => Phase::Queued,
+            (NoConnection, Phase::Writing(Some((reader, held)))) => Phase::Held(reader, held),
+            (_, Phase::Writing(Some((reader, _)))) => Phase::Held(reader, self.now),
             _ => Phase::Queued,
         };
         if next == Phase::Queued {
@@ -611,36 +622,30 @@
             }
         }
         for entry in entries {
-            let Some(&role) = self.settings.roles.get(entry.kind) else {
-                continue;
-            };
+            let Some(&role) = self.settings.roles.get(entry.kind) else { continue };
             let known = self.servers.entry(entry.server).or_default();
             if known.role != role || known.entry.started_at != entry.started_at || known.memory == 0.0 {
                 // New, or started again: what was learnt of the process before says nothing.
-                let memory = self.settings.memory_tokens.get(entry.kind).copied();
-                *known = Server {
-                    role,
-                    memory: memory.filter(|m| *m > 0.0).unwrap_or(f64::INFINITY),
-                    ..Server::default()
-                };
+                let told = self.settings.memory_tokens.get(entry.kind).filter(|m| **m > 0.0);
+                let memory = told.copied().unwrap_or(f64::INFINITY);
+                *known = Server { role, memory, ..Server::default() };
             }
             known.entry = entry.clone();
         }
     }
 
-    fn fail_server(&mut self, id: ServerId) {
+    fn fail_server(&mut self, id: ServerId, unheard: bool) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        // One failure a pause: what was out when a server died fails together and is one piece of news.
-        if self.now >= server.barred_until {
-            let pause = BACK_OFF << server.fails.min(8);
-            server.barred_until = self.now + pause.min(BACK_OFF_MOST);
-            server.fails += 1;
+        server.bar.fail(self.now);
+        if unheard {
+            self.zones.entry(server.entry.zone).or_default().fail(self.now);
         }
     }
 
     fn hear(&mut self, id: ServerId) {
         if let Some(server) = self.servers.get_mut(&id) {
-            (server.fails, server.barred_until, server.heard) = (0, 0, self.now);
+            (server.bar, server.heard) = (Bar::default(), self.now);
+            self.zones.remove(&server.entry.zone);
             server.errors = (self.now, SUCCESS_LEAVES * server.error_share(self.now));
         }
     }
@@ -692,14 +697,21 @@
         let well = |(id, s): &(ServerId, &Server)| {
             let out = self.out(*id);
             let silent = out.oldest_s > OVERDUE_FLOOR_S && out.oldest_ratio > OVERDUE && self.is_silent(*id);
-            let trial = s.fails > 0 && out.attempts > 0;
-            self.now >= s.barred_until && !silent && !trial && s.error_share(self.now) < ERROR_MOST
+            let trial = s.bar.fails > 0 && out.attempts > 0;
+            self.now >= s.bar.until && !silent && !trial && s.error_share(self.now) < ERROR_MOST
         };
         if open.iter().any(well) {
             open.retain(well);
+            // One dial after the other into a zone that is cut off would use up attempts and time.
+            let in_reach = |(_, s): &(ServerId, &Server)| {
+                self.zones.get(&s.entry.zone).is_none_or(|bar| self.now >= bar.until)
+            };
+            if open.iter().any(in_reach) {
+                open.retain(in_reach);
+            }
         } else {
-            let soonest = open.iter().map(|(_, s)| s.barred_until).min();
-            open.retain(|(_, s)| Some(s.barred_until) == soonest);
+            let soonest = open.iter().map(|(_, s)| s.bar.until).min();
+            open.retain(|(_, s)| Some(s.bar.until) == soonest);
         }
         open.into_iter().map(|(id, _)| id).collect()
     }
@@ -887,7 +899,7 @@
         }
         let (phase, expected_s) = match request.phase {
             _ if reading => (Phase::Reading, read.total_s),
-            Phase::Held(reader, _) => (Phase::Writing(Some(reader)), self.start_s),
+            Phase::Held(reader, since) => (Phase::Writing(Some((reader, since))), self.start_s),
             // Until there are answers the aim stands in for an estimate of one that comes in one piece.
             _ if self.fit.answers < FIT_AFTER => (Phase::Writing(None), seconds(request.aim - request.came)),
             _ => (Phase::Writing(None), read.total_s + self.start_s),
@@ -977,9 +989,7 @@
     }
 
     fn choose_writer(&self, request: &Request) -> Option<ServerId> {
-        let Phase::Held(reader, _) = request.phase else {
-            return None;
-        };
+        let Phase::Held(reader, _) = request.phase else { return None };
         let mut open = self.candidates(request, false);
         if open.iter().any(|s| self.has_room(*s)) {
             open.retain(|s| self.has_room(*s));
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -2,7 +2,7 @@
 
 use super::figures::{Counter, Fate};
 use super::relay::End;
-use super::roster::Roster;
+use super::roster::{Listed, Roster};
 use super::take_in::Caller;
 use super::{Answer, Engines};
 use crate::interface::{Micros, RequestId, ServerId};
@@ -106,6 +106,24 @@
         self.counts.borrow_mut().abandoned += 1;
     }
 
+    /// The engines as a release is tried at them: first the one heard last, then the one heard last in each
+    /// other zone, and so on in turn. A gateway with little traffic has often heard last from engines that
+    /// were lost or cut off together: one after the other they would use up the time that a state may be held.
+    fn in_order_of_trust(&self) -> Vec<Listed> {
+        let heard = self.heard.borrow();
+        let mut engines = self.roster.listed();
+        engines.sort_by_key(|e| std::cmp::Reverse(heard.get(&e.entry.server).copied().unwrap_or(0)));
+        let mut turns = HashMap::<u32, usize>::new();
+        let with_turn = engines.into_iter().map(|engine| {
+            let turn = turns.entry(engine.entry.zone).or_default();
+            *turn += 1;
+            (*turn, engine)
+        });
+        let mut engines: Vec<_> = with_turn.collect();
+        engines.sort_by_key(|(turn, _)| *turn);
+        engines.into_iter().map(|(_, engine)| engine).collect()
+    }
+
     /// Lets go of what is held for the request, at whichever engine takes the call. Tries after the
     /// first stop once an attempt of the request is out again: what that one leaves must stay.
     pub(super) fn release(
@@ -115,16 +133,13 @@
         out: Rc<Cell<usize>>,
         waits: Rc<Cell<bool>>,
     ) {
-        let heard = self.heard.borrow();
-        let mut engines = self.roster.listed();
-        engines.sort_by_key(|(server, _)| std::cmp::Reverse(heard.get(server).copied().unwrap_or(0)));
-        drop(heard);
+        let engines = self.in_order_of_trust();
         let (engine, patience, counts) = (self.engines.clone(), self.patience, self.counts.clone());
         tokio::task::spawn_local(async move {
             let mut again = !delay.is_zero();
             tokio::time::sleep(delay).await;
             waits.set(false);
-            for (_, endpoint) in engines {
+            for Listed { endpoint, .. } in engines {
                 if again && out.get() > 0 {
                     return;
                 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -130,8 +130,8 @@
     }
 
     /// All engines.
-    pub(super) fn listed(&self) -> Vec<(ServerId, Arc<str>)> {
-        self.engines.borrow().iter().map(|(id, l)| (*id, l.endpoint.clone())).collect()
+    pub(super) fn listed(&self) -> Vec<Listed> {
+        self.engines.borrow().values().cloned().collect()
     }
 
     fn is_ready(&self, server: ServerId) -> bool {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -33,6 +33,9 @@
     connected: Rc<Notify>,
     called: Rc<RefCell<Vec<String>>>,
     written: Rc<RefCell<Vec<String>>>,
+    /// Where releases were answered; an engine whose name ends so is cut off and answers none.
+    released: Rc<RefCell<Vec<String>>>,
+    cut_off: Option<char>,
 }
 
 impl Engines for Fake {
@@ -61,8 +64,19 @@
         }
     }
 
-    fn release(&self, _: Arc<str>, _: RequestId) -> impl Future<Output = Result<(), AttemptError>> + 'static {
-        std::future::ready(Ok(()))
+    fn release(
+        &self,
+        at: Arc<str>,
+        _: RequestId,
+    ) -> impl Future<Output = Result<(), AttemptError>> + 'static {
+        let fake = self.clone();
+        async move {
+            if fake.cut_off.is_some_and(|end| at.ends_with(end)) {
+                std::future::pending::<()>().await;
+            }
+            fake.released.borrow_mut().push(at.to_string());
+            Ok(())
+        }
     }
 
     fn forget(&self, _: &str) {}
@@ -132,6 +146,32 @@
     .await;
 }
 
+// A zone was cut off just after a read there: its engines were asked one after the other to let the state go,
+// and it stayed held for longer than the rule allows.
+#[tokio::test(start_paused = true)]
+async fn release_does_not_wait_for_every_engine_of_a_zone_that_is_cut_off() {
+    local(async {
+        let fake = Fake { cut_off: Some('a'), ..Fake::default() };
+        let gateway = started(&fake);
+        let engine = |number, kind, zone, endpoint: &str| {
+            let mut engine = listed(number, kind, endpoint, Condition::Ready);
+            engine.entry.zone = zone;
+            engine
+        };
+        let mut all: Vec<_> = (1..9).map(|n| engine(n, 0, 1, &format!("r{n}a"))).collect();
+        all.extend([engine(10, 1, 1, "w10a"), engine(11, 0, 0, "r11b"), engine(12, 1, 0, "w12b")]);
+        gateway.tell(change(RosterForm::Full, all)).expect("it runs");
+        let mut short = submission("a");
+        short.arrival.expires_in = 600_000;
+        let answer = gateway.submit(short).expect("taken").answer().await;
+        assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+        // The delay after a broken read, the patience with one engine of the lost zone, and some.
+        tokio::time::sleep(Duration::from_millis(40 + 100 + 20)).await;
+        assert_eq!(fake.released.borrow().len(), 1);
+    })
+    .await;
+}
+
 // What is open is bounded whatever comes in, and room is given back.
 #[tokio::test]
 async fn request_beyond_the_bounds_is_not_taken_until_another_ends() {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -213,3 +213,38 @@
     assert!(h.wait(7_500_000).iter().all(|a| !matches!(a, Action::Cancel { .. })));
     assert!(h.wait(1_000_000).iter().any(|a| matches!(a, Action::Cancel { .. })));
 }
+
+// Among hundreds of routers each learns alone: one engine of a lost zone after the other was dialled for the
+// same request until its attempts were spent, while the other zones stood ready.
+#[test]
+fn request_leaves_a_zone_to_which_no_connection_comes_up() {
+    let mut h = Harness::new(settings(), &[]);
+    let in_zone = |server: u32, zone| Entry { zone, ..entry(server) };
+    let mut all: Vec<_> = [1, 2, 3, 4, 11].map(|s| in_zone(s, 0)).into();
+    all.extend([5, 12].map(|s| in_zone(s, 1)));
+    h.roster(all);
+    let first = sends(&h.ask(arrival("a")), "a");
+    assert!(first[0] < 5, "the own zone's readers come first");
+    h.wait(250_000);
+    assert_eq!(sends(&h.ended("a", 0, Status::NoConnection), "a"), [5]);
+    // The pause over, the zone is tried again, and an answer from it ends the matter.
+    h.wait(500_000);
+    let again = sends(&h.ask(Arrival { session: Some("s".into()), ..arrival("b") }), "b");
+    assert!(again[0] < 5);
+    h.ended("b", 0, Status::Read);
+    let next = sends(&h.ask(Arrival { session: Some("t".into()), ..arrival("c") }), "c");
+    assert!(next[0] < 5);
+}
+
+// A full table turns connections down at once: that is not a zone that is cut off.
+#[test]
+fn refused_connections_do_not_count_against_a_zone() {
+    let mut h = Harness::new(settings(), &[]);
+    let in_zone = |server: u32, zone| Entry { zone, ..entry(server) };
+    h.roster([(1, 0), (2, 0), (3, 0), (4, 1), (11, 0), (12, 1)].map(|(s, zone)| in_zone(s, zone)).into());
+    h.ask(arrival("a"));
+    for attempt in 0..2 {
+        h.now += 3_000;
+        assert!(sends(&h.ended("a", attempt, Status::NoConnection), "a")[0] < 4);
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -198,3 +198,22 @@
     let actions = h.outcome("a", 1, Status::Full, 1.0, Load::default());
     assert!(released(&actions, "a"), "its reader may be cut off, not gone");
 }
+
+// No connection comes up to a zone that is cut off, and the time of what is held runs on meanwhile: each
+// failed dial of 250 ms counted as if the state had been read just then, so that it stayed held for a second.
+#[test]
+fn state_whose_writers_cannot_be_reached_is_let_go_in_time() {
+    let lets_go = Settings { let_go: 300_000, ..settings() };
+    let mut h = Harness::new(lets_go, &[1, 11, 12, 13, 14]);
+    h.ask(arrival("a"));
+    h.read("a", 0);
+    let read_at = h.now;
+    for attempt in 1..4 {
+        let mut actions = h.wait(250_000);
+        actions.extend(h.ended("a", attempt, Status::NoConnection));
+        if released(&actions, "a") {
+            break;
+        }
+    }
+    assert!(h.now - read_at <= 300_000, "held for {} ms", (h.now - read_at) / 1000);
+}
