Open admission again by the time since the last news, not by a fixed step a read

Cause: a late read takes a fifth of `admits`, a read in time gives back 0.04; at 300 gateways each has a read every few seconds, so one late read is felt for some 15 s, a jam for a minute.

Lines at fault: note_read in choice.rs. Change: a read in time adds 0.2 for each second since the last news, which is the 0.04 of before at the five reads a second of a gateway in a small fleet (21 requests a second, four gateways). Recovery by the second without any read was tried and not kept: a gateway whose every read is late would no longer hold back, as a test showed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -65,8 +65,9 @@
 /// Weight of a told queue in its zone's mean, and seconds over which one not heard of again is read.
 const QUEUE_STEP: f64 = 0.3;
 const QUEUE_FADE_S: f64 = 4.0;
-/// The part of sessions that is read for: added for a read in time, times for a late one, least.
-const ADMIT_MORE: f64 = 0.04;
+/// The part of sessions that is read for: added by a read in time, for each second since the last news (one
+/// of hundreds has few reads, and would refuse long after a jam), times for a late one, least.
+const ADMIT_MORE: f64 = 0.2;
 const ADMIT_LESS: f64 = 0.8;
 const ADMIT_LEAST: f64 = 0.2;
 /// When a refused client is told to come back: a queue that was too long needs that to be shorter.
@@ -264,8 +265,9 @@
     zone_queues: BTreeMap<u32, (Micros, f64)>,
     /// Zones to which dials went unheard since one of their servers last answered.
     zones: BTreeMap<u32, Bar>,
-    /// Part of the sessions that are read for, by their lots: the same ones stay in while room is short.
-    admits: f64,
+    /// When a read last moved it, and the part of the sessions that are read for, by their lots: the same
+    /// ones stay in while room is short.
+    admits: (Micros, f64),
     ticking: bool,
     watching: bool,
     /// The call in hand: its time, what is out, what is to be done.
@@ -283,7 +285,7 @@
         Ok(Self {
             replicas: f64::from(settings.replicas.max(1)),
             start_s: FIRST_START_S,
-            admits: 1.0,
+            admits: (0, 1.0),
             tenants: vec![(0.0, 0); settings.tenant_rates.len()],
             settings,
             ..Self::default()
@@ -517,10 +519,11 @@
         let some = OVERLOAD * seconds(request.aim - request.came);
         let told = self.told_s(self.servers[&server].entry.zone) > some;
         let late = unread || self.now + micros(self.start_s) > request.aim;
+        let (since, part) = self.admits;
         if !late {
-            self.admits = (self.admits + ADMIT_MORE).min(1.0);
+            self.admits = (self.now, (part + ADMIT_MORE * seconds(self.now - since)).min(1.0));
         } else if told && (unread || took - expected_s > some) {
-            self.admits = (self.admits * ADMIT_LESS).max(ADMIT_LEAST);
+            self.admits = (self.now, (part * ADMIT_LESS).max(ADMIT_LEAST));
         }
     }
 
@@ -814,7 +817,7 @@
             // Late ones behind those still in time: an aim that is missed cannot be missed again.
             let late = ready_at > request.aim;
             let new = request.attempts.is_empty() && !request.ask.resumed;
-            let left_out = new && draw(request.session_lot) > self.admits;
+            let left_out = new && draw(request.session_lot) > self.admits.1;
             if left_out || ready_at > request.hopeless {
                 self.give_up(&id);
                 continue;
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -233,6 +233,27 @@
     assert!((1..20).contains(&left_out), "{left_out} of 20 left out");
 }
 
+// With a read every few seconds, as each of hundreds of routers has, it took minutes of reads in time until all
+// were read for again: half of what came was refused while the fleet stood half idle.
+#[test]
+fn router_with_few_reads_forgets_a_jam_as_soon_as_one_with_many() {
+    let mut h = Harness::new(settings(), &[1, 2, 11]);
+    late_reads(&mut h, 100.0);
+    h.now += 5_000_000;
+    // The rest of a broken answer is read for in any case.
+    let good = Arrival { resumed: true, ..of_session("good", "in") };
+    assert_eq!(sends(&h.ask(good), "good").len(), 1);
+    h.read("good", 0);
+    let mut left_out = 0;
+    for n in 0..20 {
+        let name = format!("r{n}");
+        left_out += usize::from(refused(&h.ask(of_session(&name, &name)), &name));
+        h.handle(&[Event::Abandoned { id: id(&name) }]);
+        h.ended(&name, 0, Status::Cancelled);
+    }
+    assert_eq!(left_out, 0);
+}
+
 #[test]
 fn reads_late_without_a_told_queue_leave_nobody_out() {
     let mut h = Harness::new(settings(), &[1, 2, 11]);
