--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,17 +57,11 @@
 const WAITING_S: f64 = 0.3;
 /// Seconds by which a reader of another zone must be sooner: its moves are slow and cost.
 const AWAY_S: f64 = 0.05;
-/// Part of its aim that a read may have waited in a told queue before it counts as late by that.
-const OVERLOAD: f64 = 0.15;
 /// Last requests by which it is told how many bring the same beginning.
 const BEGINNINGS: usize = 40;
-/// Weight of a told queue in its zone's mean, and seconds over which one not heard of again is read.
-const QUEUE_STEP: f64 = 0.3;
-const QUEUE_FADE_S: f64 = 4.0;
-/// The part of sessions read for: what a read in time adds a second, what a late one leaves, least.
-const ADMIT_MORE: f64 = 0.2;
-const ADMIT_LESS: f64 = 0.8;
-const ADMIT_LEAST: f64 = 0.2;
+/// Weight of a read's wait in its zone's mean, and seconds over which one not heard of again fades.
+const WAIT_STEP: f64 = 0.3;
+const WAIT_FADE_S: f64 = 4.0;
 /// When a refused client is told to come back: a queue that was too long needs that to be shorter.
 const RETRY_AFTER: Micros = 500_000;
 /// How often open requests are looked at.
@@ -259,12 +253,10 @@
     kept: BTreeMap<(u64, ServerId), (f64, Micros)>,
     /// The lots of the last requests' beginnings.
     beginnings: VecDeque<u64>,
-    /// By zone: thousands of tokens that lately waited at a reader, and when that was told.
-    zone_queues: BTreeMap<u32, (Micros, f64)>,
+    /// By zone: seconds that reads there lately took longer than alone, or waited in vain, and when.
+    waits: BTreeMap<u32, (Micros, f64)>,
     /// Zones to which dials went unheard since one of their servers last answered.
     zones: BTreeMap<u32, Bar>,
-    /// When a read last moved it, and the part of sessions that are read for, by lot: the same ones stay in.
-    admits: (Micros, f64),
     ticking: bool,
     watching: bool,
     /// The call in hand: its time, what is out, what is to be done.
@@ -282,7 +274,6 @@
         Ok(Self {
             replicas: f64::from(settings.replicas.max(1)),
             start_s: FIRST_START_S,
-            admits: (0, 1.0),
             tenants: vec![(0.0, 0); settings.tenant_rates.len()],
             settings,
             ..Self::default()
@@ -495,8 +486,8 @@
         let (server, reading) = (attempt.server, attempt.reading);
         let harmless = reading || self.class(&request.ask).effect == Effect::Safe;
         let left = (self.settings.max_attempts as usize).saturating_sub(last + 1);
-        let told_s = self.told_s(self.servers[&server].entry.zone) * f64::from(u8::from(reading));
-        let late = OVERDUE_FLOOR_S.max(OVERDUE * (attempt.expected_s + told_s));
+        let wait_s = self.wait_s(self.servers[&server].entry.zone) * f64::from(u8::from(reading));
+        let late = OVERDUE_FLOOR_S.max(OVERDUE * (attempt.expected_s + wait_s));
         let may = attempt.out && !attempt.cancelled && harmless && self.settings.may_cancel;
         let overdue = seconds(self.now - attempt.sent) >= late && left > usize::from(reading);
         let silent = self.is_silent(server);
@@ -510,21 +501,6 @@
         }
     }
 
-    /// Moves the part of sessions that is read for: slowly up while reads end in time, much less for each
-    /// that a queue made late. One that was late by itself, or silent where no queue is told, says nothing.
-    fn note_read(&mut self, id: &RequestId, server: ServerId, expected_s: f64, took: f64, unread: bool) {
-        let request = &self.requests[id];
-        let some = OVERLOAD * seconds(request.aim - request.came);
-        let told = self.told_s(self.servers[&server].entry.zone) > some;
-        let late = unread || self.now + micros(self.start_s) > request.aim;
-        let (since, part) = self.admits;
-        if !late {
-            self.admits = (self.now, (part + ADMIT_MORE * seconds(self.now - since)).min(1.0));
-        } else if told && (unread || took - expected_s > some) {
-            self.admits = (self.now, (part * ADMIT_LESS).max(ADMIT_LEAST));
-        }
-    }
-
     fn take_first(&mut self, id: &RequestId, n: u32) {
         let found = self.requests.get_mut(id);
         let Some(request) = found.filter(|r| r.phase != Phase::Ended) else { return };
@@ -544,23 +520,25 @@
         let unread = attempt.reading && matches!(status, Status::Cancelled | Status::TimedOut);
         use Status::{Full, Moot, NoConnection, Read};
         attempt.may_have_run &= !matches!(status, Full | Moot | NoConnection | Read);
-        let server = attempt.server;
-        let took = seconds(self.now - attempt.sent);
+        let (server, behind_s, took) = (attempt.server, attempt.behind_s, seconds(self.now - attempt.sent));
         let unheard = status == NoConnection && took > UNHEARD_S;
         let (phase, session_lot) = (request.phase, request.session_lot);
         let uncached = (request.ask.prompt_tokens - note).max(0.0) / 1000.0;
-        let expected_s = self.fit.predict(uncached) + attempt.behind_s;
         if let (Some(known), Some(share)) = (self.servers.get_mut(&server), outcome.load.memory_share) {
             known.share = Some((self.now, share));
         }
-        if unread || status == Status::Read {
-            self.note_read(&outcome.id, server, expected_s, took, unread);
-        }
-        // What waited in vain tells of a queue at least as long: a jam brings few other answers.
-        let queue = outcome.load.queued_kilotokens.or(unread.then(|| took / self.slope()));
-        let told = (self.servers.get(&server), queue);
-        if let (Some(Server { role: Role::Read, entry, .. }), Some(queue)) = told {
-            self.hear_queue(entry.zone, queue);
+        // A queue is told, or shows: in how much longer a read took, in what was turned away, in vain waits.
+        let seen = match status {
+            Status::Read => Some((took - self.fit.predict(uncached) - behind_s).max(0.0)),
+            Full if note < 1.0 => Some(READ_AHEAD_S),
+            _ => unread.then_some(took),
+        };
+        let waited = outcome.load.queued_kilotokens.map(|k| k * self.slope()).or(seen);
+        if let (Some(Server { role: Role::Read, entry, .. }), Some(waited)) =
+            (self.servers.get(&server), waited)
+        {
+            let (zone, before) = (entry.zone, self.wait_s(entry.zone));
+            self.waits.insert(zone, (self.now, before + WAIT_STEP * (waited - before)));
         }
         match status {
             Status::Read | Status::Served => {
@@ -731,17 +709,21 @@
         open
     }
 
-    /// Whether a request is of the part that a server just started may be sent: by lot, of what has its home
-    /// at that reader or was read in that writer's cell, so that any number of routers sends it no more.
+    /// Whether a request is of the part that a server just started may be sent: by lot, so that any number of
+    /// routers sends it no more than that of its zone's traffic. A reader gets it of what has its home there.
     fn cold_lot(&self, request: &Request, id: ServerId, home: Option<ServerId>) -> bool {
         let server = &self.servers[&id];
-        let share = match server.role {
-            Role::Read => f64::from(u8::from(home == Some(id))),
-            _ => 1.0 / self.listed(false).filter(|(_, s)| s.entry.cell == server.entry.cell).count() as f64,
-        };
-        let part = COLD_PART * self.warmth(server) * self.settings.overload_factor * share;
-        let lot = mix(request.session_lot, server.entry.started_at ^ u64::from(id.0));
-        self.warmth(server) >= 1.0 || draw(lot) < part
+        let warmth = self.warmth(server);
+        if warmth >= 1.0 || server.role == Role::Read && home != Some(id) {
+            return warmth >= 1.0;
+        }
+        let peers = self.servers.values().filter(|s| (s.role == Role::Read) == (server.role == Role::Read));
+        let zones: Vec<u32> = peers.map(|s| s.entry.zone).collect();
+        let near = zones.iter().filter(|z| **z == server.entry.zone).count() as f64;
+        let all = zones.len() as f64 / zones.iter().collect::<BTreeSet<_>>().len() as f64;
+        let asked = if home.is_some() { self.home_part(id).max(1.0 / near) } else { 1.0 };
+        let part = COLD_PART * warmth * self.settings.overload_factor / near.max(all) / asked;
+        draw(mix(request.session_lot, server.entry.started_at ^ u64::from(id.0))) < part
     }
 
     /// The part of its capacity that a server has at its age, if it is as slow to start as any.
@@ -753,43 +735,62 @@
 
     // ---- Read estimate ----
 
+    /// How many of so many readers keep a beginning: one for each reader's worth of requests.
+    fn spread(&self, prefix_lot: u64, readers: usize) -> usize {
+        let same = self.beginnings.iter().filter(|lot| **lot == prefix_lot).count();
+        (same * readers).div_ceil(BEGINNINGS).max(1).min(readers)
+    }
+
     /// The zone's readers in the order in which all its routers would send a request there, and how many keep
-    /// its shared beginning: one for each reader's worth of requests, so that none drowns in it. Lots drawn
-    /// from beginning and session choose, so that routers agree without a word and find what was kept.
+    /// its shared beginning. Lots drawn from beginning and session choose, so that routers agree without a
+    /// word and find what was kept.
     fn homes(&self, request: &Request) -> (Vec<ServerId>, usize) {
-        let near = self.listed(true).filter(|(_, s)| s.entry.zone == self.settings.zone);
-        let mut order: Vec<_> = near.map(|(id, _)| id).collect();
-        let by_session = |id: &ServerId| mix(request.session_lot, u64::from(id.0));
-        let same = self.beginnings.iter().filter(|lot| **lot == request.prefix_lot);
-        let part = same.count() as f64 / BEGINNINGS as f64;
-        let count = ((part * order.len() as f64).ceil() as usize).max(1).min(order.len());
-        order.sort_by_key(|id| mix(request.prefix_lot, u64::from(id.0)));
+        let mut order: Vec<_> = self.listed(true).collect();
+        let by_session = |(id, _): &(ServerId, &Server)| mix(request.session_lot, u64::from(id.0));
+        let away = |s: &Server| s.entry.zone != self.settings.zone;
+        let near = order.iter().filter(|(_, s)| !away(s)).count();
+        let count = self.spread(request.prefix_lot, near);
+        order.sort_by_key(|(id, s)| (away(s), mix(request.prefix_lot, u64::from(id.0))));
         order[..count].sort_by_key(by_session);
+        let beyond = (near + count.max(1)).min(order.len());
+        order[near..beyond].sort_by_key(by_session);
+        let order = order.into_iter().map(|(id, _)| id).collect();
         (order, count)
     }
 
+    /// The part of the zone's requests that have their home at a reader, one that is there left out: by the
+    /// last ones' beginnings, as far as there were so many, else as if all readers had alike.
+    fn home_part(&self, id: ServerId) -> f64 {
+        let zone = self.servers[&id].entry.zone;
+        let near: Vec<_> = self.listed(true).filter(|(_, s)| s.entry.zone == zone).collect();
+        let part = |lot: &u64| {
+            let place = mix(*lot, u64::from(id.0));
+            let before = near.iter().filter(|(other, _)| mix(*lot, u64::from(other.0)) < place).count();
+            let homes = self.spread(*lot, near.len());
+            if before < homes { 1.0 / homes as f64 } else { 0.0 }
+        };
+        let unknown = (BEGINNINGS + 1 - self.beginnings.len()) as f64 / near.len() as f64;
+        (self.beginnings.iter().map(part).sum::<f64>() - 1.0 + unknown) / BEGINNINGS as f64
+    }
+
     /// Seconds of reading for a thousand tokens.
     fn slope(&self) -> f64 {
         (self.fit.predict(1.0) - self.fit.weights()[0]).max(0.001)
     }
 
-    /// Seconds of reading that wait at a reader of the zone, other routers' too, by what answers lately told.
-    fn told_s(&self, zone: u32) -> f64 {
-        let left = |at| (-seconds(self.now - at) / QUEUE_FADE_S).exp();
-        self.zone_queues.get(&zone).map_or(0.0, |(at, kilotokens)| kilotokens * self.slope() * left(*at))
-    }
-
-    fn hear_queue(&mut self, zone: u32, kilotokens: f64) {
-        let before = self.told_s(zone) / self.slope();
-        self.zone_queues.insert(zone, (self.now, before + QUEUE_STEP * (kilotokens - before)));
+    /// Seconds that a read in the zone is likely to wait for other routers', by how it lately went.
+    fn wait_s(&self, zone: u32) -> f64 {
+        let left = |at| (-seconds(self.now - at) / WAIT_FADE_S).exp();
+        self.waits.get(&zone).map_or(0.0, |(at, wait_s)| wait_s * left(*at))
     }
 
     /// What a read of the request would take at each of the readers, behind what this router has out there.
     fn reads(&self, request: &Request, readers: &[ServerId]) -> Vec<Read> {
         let ask = &request.ask;
         let (order, homes) = self.homes(request);
+        let order: BTreeMap<_, _> = order.into_iter().zip(0..).collect();
         let read = |id: &ServerId| {
-            let rank = order.iter().position(|home| home == id).unwrap_or(order.len());
+            let rank = order.get(id).copied().unwrap_or(order.len());
             let at_home = rank < homes;
             let kept = |lot| self.kept.get(&(lot, *id)).map_or(0.0, |kept| kept.0);
             let beginning = if at_home { ask.prefix_tokens } else { kept(request.prefix_lot) };
@@ -818,9 +819,7 @@
             let ready_at = self.now + micros(reads.reduce(f64::min).unwrap_or(0.0) + self.start_s);
             // Late ones behind those still in time: an aim that is missed cannot be missed again.
             let late = ready_at > request.aim;
-            let new = request.attempts.is_empty() && !request.ask.resumed;
-            let left_out = new && draw(request.session_lot) > self.admits.1;
-            if left_out || ready_at > request.hopeless {
+            if ready_at > request.hopeless {
                 self.give_up(&id);
                 continue;
             }
@@ -865,7 +864,8 @@
             open.retain(|r| !priority.contains(&r.server) || reads_out(r) == 0);
         }
         let away = |r: &Read| self.servers[&r.server].entry.zone != self.settings.zone;
-        let cost = |r: &Read| r.total_s + f64::from(u8::from(away(r))) * AWAY_S;
+        let wait_s = |r: &Read| self.wait_s(self.servers[&r.server].entry.zone);
+        let cost = |r: &Read| r.total_s + wait_s(r) + f64::from(u8::from(away(r))) * AWAY_S;
         let by = |a: &Read, b: &Read| cost(a).total_cmp(&cost(b)).then(a.rank.cmp(&b.rank));
         open.iter().min_by(|a, b| by(a, b)).map(|r| r.server)
     }
@@ -1003,11 +1003,11 @@
         let in_cell = |s: &&ServerId| entry(s).cell == home.cell;
         let stays = draw(request.lot) < self.part_at_home(home);
         let cell: Vec<_> = open.iter().filter(in_cell).filter(|_| stays).copied().collect();
+        let zone: Vec<_> = open.iter().filter(|s| entry(s).zone == home.zone).copied().collect();
         // What is drawn for one just started goes there: among all the others it would get next to nothing.
-        if let Some(cold) = cell.iter().find(|s| self.warmth(&self.servers[*s]) < 1.0) {
+        if let Some(cold) = zone.iter().find(|s| self.warmth(&self.servers[*s]) < 1.0) {
             return Some(*cold);
         }
-        let zone = open.iter().filter(|s| entry(s).zone == home.zone).copied().collect();
         let near = |g: &Vec<ServerId>| lowest(g).is_some_and(|best| best <= least + SHARE_FAR);
         let group = [cell, zone].into_iter().find(near).unwrap_or(open);
         let best = lowest(&group)?;
