Weigh a bounded number of waiting requests at an event, whatever queue and fleet

An event weighed all readers for every waiting request, sorted them twice for each, and looked up each reader's place in that order from its start.

Lines at fault: release_queued (reads for all that wait), choose_reader for all that wait though none could go, reads (position), cold_lot (peers counted for each cold server), recall_overdue (`well` for each request).

Change: eight waiting requests, those weighed longest ago, are weighed anew at an event, new ones at once; the eight most urgent are offered to readers. Peers are counted when the roster changes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,5 +1,4 @@
 //! All decisions; the types, events, actions and settings are in `src/interface.rs`.
-//!
 //! Unread requests wait here and leave in earliest-deadline order by predicted first-token slack;
 //! the nearly late go to priority readers; the hopeless are refused before any read. What was read
 //! goes at once to a writer. Read from the top: lifecycle, outcomes, servers, estimate, queue, writers.
@@ -64,6 +63,8 @@
 const WAIT_FADE_S: f64 = 4.0;
 /// When a refused client is told to come back: a queue that was too long needs that to be shorter.
 const RETRY_AFTER: Micros = 500_000;
+/// Queued requests weighed anew and offered to servers at an event: all would cost queue times servers.
+const LOOKS: usize = 8;
 /// How often open requests are looked at.
 const TICK: Micros = 20_000;
 
@@ -123,7 +124,6 @@
     server: ServerId,
     /// Its place in the order in which the routers of this zone send the request.
     rank: usize,
-    /// What it adds for those behind it, and what is before it.
     work_s: f64,
     behind_s: f64,
     total_s: f64,
@@ -132,7 +132,7 @@
 #[derive(Debug)]
 struct Request {
     ask: Arrival,
-    /// What its session draws lots by, and the request: with its length, so that a next try draws the same.
+    /// What its session, its beginning and it draw lots by: by its length, so that a next try draws the same.
     session_lot: u64,
     prefix_lot: u64,
     lot: u64,
@@ -141,6 +141,8 @@
     aim: Micros,
     hopeless: Micros,
     over_share: bool,
+    /// The shortest read that was predicted for it, and when: never at 0.
+    best: (Micros, f64),
     phase: Phase,
     attempts: Vec<Attempt>,
 }
@@ -259,6 +261,8 @@
     zones: BTreeMap<u32, Bar>,
     ticking: bool,
     watching: bool,
+    /// How many servers that read, or do not, are listed in each zone, drains too, or in the mean if more.
+    peers: BTreeMap<(bool, u32), f64>,
     /// The call in hand: its time, what is out, what is to be done.
     now: Micros,
     outs: BTreeMap<ServerId, Out>,
@@ -313,10 +317,9 @@
         self.release_queued();
         self.kept.retain(|_, kept| now < kept.1 + KEPT);
         self.requests.retain(|_, r| r.phase != Phase::Ended || r.attempts.iter().any(|a| a.out));
-        // Replaced servers have new ids: what is gone and has nothing out is never asked for again.
         let attempts = || self.requests.values().flat_map(|r| &r.attempts);
-        let gone = |s: &Server| s.entry.condition == Condition::Gone;
-        self.servers.retain(|id, s| !gone(s) || attempts().any(|a| a.server == *id));
+        self.servers
+            .retain(|id, s| s.entry.condition != Condition::Gone || attempts().any(|a| a.server == *id));
         if !self.ticking && !self.requests.is_empty() {
             self.ticking = true;
             self.actions.push(Action::Timer { token: 0, after: TICK });
@@ -332,10 +335,8 @@
         let (aim, deadline) = (class.aim + grown, class.deadline + 2 * grown);
         let session_lot = number(ask.session.as_deref().unwrap_or(&ask.id.0));
         let prefix_lot = ask.prefix.as_deref().map_or(session_lot, number);
-        self.beginnings.push_back(prefix_lot);
-        if self.beginnings.len() > BEGINNINGS {
-            self.beginnings.pop_front();
-        }
+        self.beginnings.push_front(prefix_lot);
+        self.beginnings.truncate(BEGINNINGS);
         let request = Request {
             session_lot,
             prefix_lot,
@@ -346,6 +347,7 @@
             hopeless: self.now + ask.expires_in.min(deadline),
             // What was counted at its first try is not counted again: a break brings many back at once.
             over_share: !ask.resumed && self.over_share(ask.tenant),
+            best: (0, 0.0),
             phase: Phase::Queued,
             attempts: Vec::new(),
             ask: ask.clone(),
@@ -355,8 +357,7 @@
 
     /// Counts a tenant's request against this router's part of its share, as a leaking bucket.
     fn over_share(&mut self, tenant: usize) -> bool {
-        let rate = self.settings.tenant_rates.get(tenant);
-        let part = rate.map_or(0.0, |r| r / self.replicas);
+        let part = self.settings.tenant_rates.get(tenant).map_or(0.0, |rate| rate / self.replicas);
         if part <= 0.0 {
             return false;
         }
@@ -448,14 +449,13 @@
     /// Looks at every open request: time up, state held too long, attempt overdue.
     fn sweep(&mut self) {
         let soon = self.now + 2 * TICK + 2 * self.settings.resolution;
+        let well = [false, true].map(|reading| self.well(reading));
         for id in self.ids(|r| !matches!(r.phase, Phase::Ended | Phase::Streaming(_))) {
             let request = &self.requests[&id];
             match request.phase {
                 _ if request.expires <= soon => self.give_up(&id),
-                Phase::Held(_, since) if soon >= since + self.settings.let_go => {
-                    self.set_phase(&id, Phase::Queued)
-                }
-                Phase::Reading | Phase::Writing(_) => self.recall_overdue(&id),
+                Phase::Held(_, at) if at + self.settings.let_go <= soon => self.set_phase(&id, Phase::Queued),
+                Phase::Reading | Phase::Writing(_) => self.recall_overdue(&id, &well),
                 _ => {}
             }
         }
@@ -479,11 +479,10 @@
     // ---- Attempt outcomes ----
 
     /// A silent server keeps what it was given: call an overdue attempt off where another may be made.
-    fn recall_overdue(&mut self, id: &RequestId) {
+    fn recall_overdue(&mut self, id: &RequestId, well: &[Vec<ServerId>; 2]) {
         let request = &self.requests[id];
         let last = request.attempts.len() - 1;
-        let attempt = request.attempts[last];
-        let (server, reading) = (attempt.server, attempt.reading);
+        let attempt @ Attempt { server, reading, .. } = request.attempts[last];
         let harmless = reading || self.class(&request.ask).effect == Effect::Safe;
         let left = (self.settings.max_attempts as usize).saturating_sub(last + 1);
         let wait_s = self.wait_s(self.servers[&server].entry.zone) * f64::from(u8::from(reading));
@@ -493,7 +492,7 @@
         let silent = self.is_silent(server);
         // One that answers others has a queue: that is worth leaving only for a server without.
         let better = |s: &ServerId| *s != server && (silent || reading || self.has_room(*s));
-        if may && overdue && self.well(reading).iter().any(better) {
+        if may && overdue && well[usize::from(reading)].iter().any(better) {
             if silent {
                 self.fail_server(server, false);
             }
@@ -534,10 +533,9 @@
             _ => unread.then_some(took),
         };
         let waited = outcome.load.queued_kilotokens.map(|k| k * self.slope()).or(seen);
-        if let (Some(Server { role: Role::Read, entry, .. }), Some(waited)) =
-            (self.servers.get(&server), waited)
-        {
-            let (zone, before) = (entry.zone, self.wait_s(entry.zone));
+        let reader = self.servers.get(&server).filter(|s| s.role == Role::Read);
+        if let (Some(Server { entry: Entry { zone, .. }, .. }), Some(waited)) = (reader, waited) {
+            let (zone, before) = (*zone, self.wait_s(*zone));
             self.waits.insert(zone, (self.now, before + WAIT_STEP * (waited - before)));
         }
         match status {
@@ -607,6 +605,12 @@
             }
             known.entry = entry.clone();
         }
+        let listed = self.servers.values().filter(|s| s.entry.condition != Condition::Gone);
+        let mut near = BTreeMap::<(bool, u32), f64>::new();
+        listed.for_each(|s| *near.entry((s.role == Role::Read, s.entry.zone)).or_default() += 1.0);
+        let zones = |reading| near.iter().filter(move |(of, _)| of.0 == reading).map(|(_, n)| *n);
+        let mean = |reading| zones(reading).sum::<f64>() / zones(reading).count() as f64;
+        self.peers = near.iter().map(|(of, n)| (*of, n.max(mean(of.0)))).collect();
     }
 
     fn fail_server(&mut self, id: ServerId, unheard: bool) {
@@ -693,14 +697,13 @@
     /// How many listed servers get no ordinary work now.
     pub fn avoided(&mut self, now: Micros) -> usize {
         self.now = now.max(self.now);
-        let avoided = |reading| self.listed(reading).count() - self.well(reading).len();
-        avoided(true) + avoided(false)
+        [true, false].map(|reading| self.listed(reading).count() - self.well(reading).len()).iter().sum()
     }
 
     /// Where a request may go: the well that its class allows, those it has not tried before the others.
     fn candidates(&self, request: &Request, reading: bool) -> Vec<ServerId> {
         let mut open = self.well(reading);
-        let home = self.homes(request).0.first().copied().filter(|_| reading);
+        let home = reading.then(|| self.homes(request).0.first().copied()).flatten();
         open.retain(|s| self.may_send(request, *s) && self.cold_lot(request, *s, home));
         let new = |s: &ServerId| request.attempts.iter().all(|a| a.server != *s);
         if open.iter().any(new) {
@@ -717,12 +720,9 @@
         if warmth >= 1.0 || server.role == Role::Read && home != Some(id) {
             return warmth >= 1.0;
         }
-        let peers = self.servers.values().filter(|s| (s.role == Role::Read) == (server.role == Role::Read));
-        let zones: Vec<u32> = peers.map(|s| s.entry.zone).collect();
-        let near = zones.iter().filter(|z| **z == server.entry.zone).count() as f64;
-        let all = zones.len() as f64 / zones.iter().collect::<BTreeSet<_>>().len() as f64;
-        let asked = if home.is_some() { self.home_part(id).max(1.0 / near) } else { 1.0 };
-        let part = COLD_PART * warmth * self.settings.overload_factor / near.max(all) / asked;
+        let peers = self.peers[&(server.role == Role::Read, server.entry.zone)];
+        let asked = if home.is_some() { self.home_part(id).max(1.0 / peers) } else { 1.0 };
+        let part = COLD_PART * warmth * self.settings.overload_factor / peers / asked;
         draw(mix(request.session_lot, server.entry.started_at ^ u64::from(id.0))) < part
     }
 
@@ -741,9 +741,8 @@
         (same * readers).div_ceil(BEGINNINGS).max(1).min(readers)
     }
 
-    /// The zone's readers in the order in which all its routers would send a request there, and how many keep
-    /// its shared beginning. Lots drawn from beginning and session choose, so that routers agree without a
-    /// word and find what was kept.
+    /// The zone's readers, then the others, in the order in which all its routers would send a request there,
+    /// by lots drawn from beginning and session, and how many keep its beginning.
     fn homes(&self, request: &Request) -> (Vec<ServerId>, usize) {
         let mut order: Vec<_> = self.listed(true).collect();
         let by_session = |(id, _): &(ServerId, &Server)| mix(request.session_lot, u64::from(id.0));
@@ -813,20 +812,26 @@
     fn release_queued(&mut self) {
         let well = self.well(true);
         let mut queue = Vec::new();
-        for id in self.ids(|r| r.phase == Phase::Queued) {
+        let mut ids = self.ids(|r| r.phase == Phase::Queued);
+        ids.sort_by_key(|id| self.requests[id].best.0);
+        for (n, id) in ids.into_iter().enumerate() {
+            if n < LOOKS || self.requests[&id].best.0 == 0 {
+                let reads = self.reads(&self.requests[&id], &well).into_iter().map(|r| r.total_s);
+                let best = (self.now, reads.reduce(f64::min).unwrap_or(0.0));
+                self.requests.entry(id.clone()).and_modify(|r| r.best = best);
+            }
             let request = &self.requests[&id];
-            let reads = self.reads(request, &well).into_iter().map(|r| r.total_s);
-            let ready_at = self.now + micros(reads.reduce(f64::min).unwrap_or(0.0) + self.start_s);
+            let ready_at = self.now + micros(request.best.1 + self.start_s);
             // Late ones behind those still in time: an aim that is missed cannot be missed again.
             let late = ready_at > request.aim;
             if ready_at > request.hopeless {
                 self.give_up(&id);
                 continue;
             }
-            let slack = request.aim as f64 - ready_at as f64;
-            queue.push((late, request.over_share, slack as i64, request.came, id));
+            queue.push((late, request.over_share, request.aim as i64 - ready_at as i64, request.came, id));
         }
         queue.sort();
+        queue.truncate(LOOKS);
         for (_, over_share, slack, _, id) in queue {
             if let Some(server) = self.choose_reader(&id, slack as f64 / 1e6) {
                 self.send(&id, server);
@@ -866,12 +871,10 @@
         let away = |r: &Read| self.servers[&r.server].entry.zone != self.settings.zone;
         let wait_s = |r: &Read| self.wait_s(self.servers[&r.server].entry.zone);
         let cost = |r: &Read| r.total_s + wait_s(r) + f64::from(u8::from(away(r))) * AWAY_S;
-        let by = |a: &Read, b: &Read| cost(a).total_cmp(&cost(b)).then(a.rank.cmp(&b.rank));
-        open.iter().min_by(|a, b| by(a, b)).map(|r| r.server)
+        open.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)).then(a.rank.cmp(&b.rank))).map(|r| r.server)
     }
 
-    /// No reader is listed at all: a mixed server can still read and answer by itself. It gets no more
-    /// at once than a reader and no more than it has memory for; the one with the fewest own tokens is taken.
+    /// No reader is listed: a mixed server reads and answers by itself, as much as its memory takes.
     fn choose_alone(&self, request: &Request) -> Option<ServerId> {
         let mut open = self.candidates(request, false);
         open.retain(|s| {
@@ -954,16 +957,14 @@
         out.waiting < WAITING_CAP && out.oldest_s < WAITING_S
     }
 
-    /// Whether what is being read has a writer to go to: no more is read than the writers that do not
-    /// make this router wait have memory for. With nothing out a router always tries, to hear again.
+    /// Whether what is read has a writer to go to: one that does not make this router wait, and has memory.
     fn writer_room(&self, request: &Request) -> bool {
         let well = self.candidates(request, false);
-        let mut room = 0.0;
-        for (id, share) in self.shares(&well) {
-            if self.has_room(id) {
-                room += (SHARE_FULL - share).max(0.0) * self.servers[&id].memory / self.replicas;
-            }
-        }
+        let shares = self.shares(&well).into_iter().filter(|(id, _)| self.has_room(*id));
+        let room = |(id, share): (ServerId, f64)| {
+            (SHARE_FULL - share).max(0.0) * self.servers[&id].memory / self.replicas
+        };
+        let room: f64 = shares.map(room).sum();
         let reading = self.requests.values().filter(|r| r.phase == Phase::Reading);
         let reading: f64 = reading.map(|r| r.ask.prompt_tokens).sum();
         room > reading || !well.is_empty() && self.outs.is_empty()
@@ -977,8 +978,7 @@
         }
     }
 
-    /// The part of a reader's states that the writers of its cell can take if all routers of the zone act
-    /// alike: a cell with few writers for its readers would drown in them.
+    /// The part of a reader's states that the writers of its cell can take if all in the zone act alike.
     fn part_at_home(&self, entry: &Entry) -> f64 {
         let near = |s: &Server| s.entry.zone == entry.zone;
         let count = |reading: bool, here: bool| {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -246,3 +246,35 @@
         assert!(sends(&h.ended("a", attempt, Status::NoConnection), "a")[0] < 4);
     }
 }
+
+// Each event weighed all servers for all that waited: half a second of work at 1,024 servers and 400 requests, of
+// which a router with a fifth of a core has ten every second.
+#[test]
+fn cost_of_an_event_does_not_grow_with_queue_times_servers() {
+    let settings = Settings {
+        replicas: 350,
+        memory_tokens: vec![200_000.0, 700.0],
+        classes: vec![Class { aim: 60_000_000, deadline: 300_000_000, ..Class::default() }],
+        ..settings()
+    };
+    let kind = |n: u32| usize::from(!n.is_multiple_of(3));
+    let entry =
+        |n| Entry { server: ServerId(n), kind: kind(n), zone: n % 4, cell: n / 6, ..Entry::default() };
+    let least = |waiting: usize| {
+        let mut h = Harness::new(settings.clone(), &[]);
+        h.roster((0..1024).map(entry).collect());
+        // Two take the room that the writers have for this router; the others wait.
+        for n in 0..waiting + 2 {
+            let name = format!("r{n}");
+            h.ask(Arrival { expires_in: 300_000_000, session: Some(name.as_str().into()), ..arrival(&name) });
+        }
+        let event = || {
+            let start = std::time::Instant::now();
+            assert!(all_sends(&h.handle(&[Event::Timer { token: 0 }])).is_empty());
+            start.elapsed()
+        };
+        std::iter::repeat_with(event).take(12).min().expect("some")
+    };
+    let (few, many) = (least(20), least(400));
+    assert!(many < few * 8, "{many:?} with 400 that wait, {few:?} with 20");
+}
