--- a/src/choice.rs
+++ b/src/choice.rs
@@ -449,13 +449,13 @@
     /// Looks at every open request: time up, state held too long, attempt overdue.
     fn sweep(&mut self) {
         let soon = self.now + 2 * TICK + 2 * self.settings.resolution;
-        let well = [false, true].map(|reading| self.well(reading));
+        let mut well = [false, true].map(|reading| self.well(reading));
         for id in self.ids(|r| !matches!(r.phase, Phase::Ended | Phase::Streaming(_))) {
             let request = &self.requests[&id];
             match request.phase {
                 _ if request.expires <= soon => self.give_up(&id),
                 Phase::Held(_, at) if at + self.settings.let_go <= soon => self.set_phase(&id, Phase::Queued),
-                Phase::Reading | Phase::Writing(_) => self.recall_overdue(&id, &well),
+                Phase::Reading | Phase::Writing(_) => self.recall_overdue(&id, &mut well),
                 _ => {}
             }
         }
@@ -479,22 +479,22 @@
     // ---- Attempt outcomes ----
 
     /// A silent server keeps what it was given: call an overdue attempt off where another may be made.
-    fn recall_overdue(&mut self, id: &RequestId, well: &[Vec<ServerId>; 2]) {
+    fn recall_overdue(&mut self, id: &RequestId, well: &mut [Vec<ServerId>; 2]) {
         let request = &self.requests[id];
-        let last = request.attempts.len() - 1;
-        let attempt @ Attempt { server, reading, .. } = request.attempts[last];
+        let attempt @ Attempt { server, reading, .. } = request.attempts[request.attempts.len() - 1];
         let harmless = reading || self.class(&request.ask).effect == Effect::Safe;
-        let left = (self.settings.max_attempts as usize).saturating_sub(last + 1);
+        let left = request.attempts.len() + usize::from(reading) < self.settings.max_attempts as usize;
         let wait_s = self.wait_s(self.servers[&server].entry.zone) * f64::from(u8::from(reading));
         let late = OVERDUE_FLOOR_S.max(OVERDUE * (attempt.expected_s + wait_s));
         let may = attempt.out && !attempt.cancelled && harmless && self.settings.may_cancel;
-        let overdue = seconds(self.now - attempt.sent) >= late && left > usize::from(reading);
+        let overdue = seconds(self.now - attempt.sent) >= late && left;
         let silent = self.is_silent(server);
         // One that answers others has a queue: that is worth leaving only for a server without.
         let better = |s: &ServerId| *s != server && (silent || reading || self.has_room(*s));
         if may && overdue && well[usize::from(reading)].iter().any(better) {
             if silent {
                 self.fail_server(server, false);
+                *well = [false, true].map(|reading| self.well(reading));
             }
             self.recall(id);
         }
@@ -822,13 +822,13 @@
             }
             let request = &self.requests[&id];
             let ready_at = self.now + micros(request.best.1 + self.start_s);
-            // Late ones behind those still in time: an aim that is missed cannot be missed again.
-            let late = ready_at > request.aim;
             if ready_at > request.hopeless {
                 self.give_up(&id);
                 continue;
             }
-            queue.push((late, request.over_share, request.aim as i64 - ready_at as i64, request.came, id));
+            // Late ones behind those still in time: an aim that is missed cannot be missed again.
+            let (late, slack) = (ready_at > request.aim, request.aim as i64 - ready_at as i64);
+            queue.push((late, request.over_share, slack, request.came, id));
         }
         queue.sort();
         queue.truncate(LOOKS);
