Let a discovery address that is behind take no engine out and bring none back

The first answer of a new address counted as whole whatever it held: an agent that had just started, with nothing or with an old list, took every engine out of use, and an old list brought drained engines back. Seen in a new test on sockets: 429 for every request after the move, where the old list held three serving engines. Lines at fault: Watch::accept and next in net/discovery.rs.

A list whose version is below what was told has nothing to tell of anything since: the engines known stay, and the old address goes on being followed until the new one has caught up. Drains and ends in it count all the same, since the drain rule comes first. After 6 s, by when all that there is to tell has been told by the protocol, a lower version is another history, and its list counts whole. An empty list of a version not below counts: it says that nothing is there.

Tests on real sockets: an empty list, an old one, one that catches up, and one of another history; 1,024 engines with names of 130 characters, whole and as changes, with usual and with the smallest limits, through to served requests.

--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -74,12 +74,22 @@
         ServerId(number)
     }
 
+    /// Whether the engine is listed as things were told.
+    pub fn knows(&self, target: &Target) -> bool {
+        self.taken.values().any(|uid| *uid == target.uid)
+    }
+
     fn keep(&mut self, which: impl Fn(&str) -> bool) {
         self.taken.retain(|_, uid| which(uid));
     }
 }
 
 impl Target {
+    /// Whether it takes new work.
+    pub fn is_serving(&self) -> bool {
+        self.state == "SERVING"
+    }
+
     fn listed(&self, names: &Names, numbers: &mut Numbers) -> Option<Listed> {
         let condition = match self.state.as_str() {
             "SERVING" => Condition::Ready,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery's watch: each call waits for what is newer than the last answer. It moves when it is told
-//! another address, and goes on at the old one until the new one has answered.
+//! another address, and goes on at the old one until the new one has answered and is not behind: an older
+//! revision has nothing to tell of what was told since, so the engines known stay in use.
 
 use super::pool::{Channel, Pool, PoolLimits};
 use crate::config::{List, Names, Numbers};
@@ -13,6 +14,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// How long a watch may wait for news.
 const WAIT: Duration = Duration::from_secs(4);
@@ -20,6 +22,9 @@
 const GRACE: Duration = Duration::from_secs(2);
 /// Pause after a failed call; a watch goes on only if it is renewed within 200 ms.
 const PAUSE: Duration = Duration::from_millis(50);
+/// How long a new address may be behind what was told before. By the protocol all that there is to tell has
+/// been told by then: a lower revision is another history, and its list counts.
+const BEHIND: Duration = Duration::from_secs(6);
 const LIST_BYTES: usize = 4 << 20;
 const BUFFER: usize = 64 << 10;
 
@@ -102,6 +107,12 @@
     /// Sources with their numbers; all but the newest end once that one has answered.
     sources: Vec<(u64, AbortHandle)>,
     begun: u64,
+    /// The revision of what was handed on last.
+    revision: u64,
+    /// The newest source, once it was found behind, and when that is no longer believed of it.
+    behind: Option<(u64, Instant)>,
+    /// The source whose list counts whatever its revision.
+    believed: u64,
     lists: mpsc::Receiver<(u64, List)>,
     found: mpsc::Sender<(u64, List)>,
 }
@@ -112,7 +123,19 @@
     pub fn new(address: watch::Receiver<Arc<str>>, names: Names, known: Option<List>) -> Self {
         let (found, lists) = mpsc::channel(1);
         let numbers = Numbers::default();
-        let mut watch = Self { names, numbers, known, address, sources: Vec::new(), begun: 0, lists, found };
+        let mut watch = Self {
+            names,
+            numbers,
+            known,
+            address,
+            sources: Vec::new(),
+            begun: 0,
+            revision: 0,
+            behind: None,
+            believed: 0,
+            lists,
+            found,
+        };
         watch.begin();
         watch
     }
@@ -125,6 +148,40 @@
         self.sources.push((self.begun, task.abort_handle()));
     }
 
+    /// Whether an answer tells less than was told: it comes from an address that is not followed yet.
+    fn is_behind(&self, number: u64, list: &List) -> bool {
+        let followed = self.sources.first().is_some_and(|(oldest, _)| number <= *oldest);
+        !followed && number != self.believed && list.rev < self.revision
+    }
+
+    /// What counts of an answer that is behind: drains do, whoever tells of them. Nothing comes back into use
+    /// by it and nothing that it lacks is gone.
+    fn of_behind(&mut self, number: u64, mut list: List) -> Option<Change> {
+        if self.behind.is_none_or(|(source, _)| source != number) {
+            log::warn!("discovery is behind rev={} known={}: engines known stay", list.rev, self.revision);
+            self.behind = Some((number, Instant::now() + BEHIND));
+        }
+        list.targets.retain(|target| !target.is_serving() && self.numbers.knows(target));
+        (list.rev, list.all) = (self.revision, false);
+        (!list.targets.is_empty()).then(|| list.change(&self.names, &mut self.numbers))
+    }
+
+    /// An address that stays behind is believed: it is asked for its whole list again.
+    fn believe(&mut self) {
+        let Some((number, _)) = self.behind.take().filter(|(number, _)| *number == self.begun) else {
+            return;
+        };
+        log::warn!("discovery stays behind, its list counts from now on known={}", self.revision);
+        self.sources.retain(|(source, task)| {
+            if *source == number {
+                task.abort();
+            }
+            *source != number
+        });
+        self.begin();
+        self.believed = self.begun;
+    }
+
     /// Whether an answer of that source counts; if so those before it have had their time.
     fn accept(&mut self, number: u64) -> bool {
         let before = self.sources.iter().take_while(|(older, _)| *older < number).count();
@@ -143,12 +200,19 @@
     async fn next(&mut self) -> Option<Change> {
         if let Some(mut known) = self.known.take() {
             known.all = true;
+            self.revision = known.rev;
             return Some(known.change(&self.names, &mut self.numbers));
         }
         loop {
+            let until = self.behind.map_or_else(Instant::now, |(_, until)| until);
             tokio::select! {
                 Some((number, list)) = self.lists.recv() => {
-                    if self.accept(number) {
+                    if self.is_behind(number, &list) {
+                        if let Some(change) = self.of_behind(number, list) {
+                            return Some(change);
+                        }
+                    } else if self.accept(number) {
+                        self.revision = list.rev;
                         return Some(list.change(&self.names, &mut self.numbers));
                     }
                 }
@@ -156,6 +220,7 @@
                     log::info!("discovery moves to={}", *self.address.borrow());
                     self.begin();
                 }
+                () = tokio::time::sleep_until(until), if self.behind.is_some() => self.believe(),
             }
         }
     }
