Read an engine's state in the list at one place

From a reading of the change: is_serving, new with discovery's moves, compared the state with the same word that listed() already turned into a condition. Both now ask Target::condition. Behaviour as before; all checks pass, assertions unchanged.

--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -85,18 +85,21 @@
 }
 
 impl Target {
+    fn condition(&self) -> Condition {
+        match self.state.as_str() {
+            "SERVING" => Condition::Ready,
+            GONE => Condition::Gone,
+            // A state that is not known wants nothing new either.
+            _ => Condition::Draining,
+        }
+    }
+
     /// Whether it takes new work.
     pub fn is_serving(&self) -> bool {
-        self.state == "SERVING"
+        self.condition() == Condition::Ready
     }
 
     fn listed(&self, names: &Names, numbers: &mut Numbers) -> Option<Listed> {
-        let condition = match self.state.as_str() {
-            "SERVING" => Condition::Ready,
-            GONE => Condition::Gone,
-            // A state that is not known wants nothing new either.
-            _ => Condition::Draining,
-        };
         let Some(kind) = place(&names.kinds, &self.model) else {
             log::debug!("roster entry skipped uid={} unknown model={}", self.uid, self.model);
             return None;
@@ -106,7 +109,7 @@
             zone: place(&names.zones, &self.az).map_or(u32::MAX, |zone| zone as u32),
             cell: self.pod_group,
             kind,
-            condition,
+            condition: self.condition(),
             started_at: (self.boot_ms.max(0.0) * 1000.0) as Micros,
         };
         Some(Listed {
