Spread discovery's calls by lot, and back off from it where it is asked

Ruled out by probes: pauses alone (50 ms doubling to 2 s: still no answer), an outage (asked a few times a second from the start, gateways were answered). Calls take 0 to 5 ms or 2,000 ms to fail: they wait in turn, and what was given up is worked off all the same, so a queue that is full once stays full.

At fault: src/net/discovery.rs, `PAUSE` of 50 ms after each failed call, the whole list asked by every gateway at its start in the same instant, and once more a watch after it.

Change: where the settings say that discovery is asked, a gateway that knows a list opens its watch from that revision, within 40 ms for each gateway by lot (8 s at most), and pauses by lot from 1 s doubling to 160 ms for each gateway (16 s at most). A change that leads to a lower revision belongs to another history: the whole list is asked for. An agent is asked at once as before, and after failures from 50 ms doubling to 500 ms. The debug log tells entries, arrivals and reports in full.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -75,6 +75,8 @@
     report: Report,
     #[serde(default)]
     resolution_ms: Option<f64>,
+    #[serde(default)]
+    membership_mode: String,
 }
 
 fn one() -> u32 {
@@ -176,6 +178,8 @@
     pub listen: String,
     /// Where discovery listens.
     pub discovery: String,
+    /// Whether discovery is one service that all gateways ask, rather than an agent that is told.
+    pub shared_discovery: bool,
     /// Where operators connect, if they do.
     pub management: Option<String>,
     /// For random numbers.
@@ -236,6 +240,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            shared_discovery: told.membership_mode == "ask",
             management: file.management,
             resources: file.limits,
             known: file.known,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::front::{Bodies, Fronts, Inference, Management, Model, Platform};
 use crate::gateway::{self, Changes, Departure, Gateway, News, Tuning};
 use crate::interface::Settings;
-use crate::net::{self, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
+use crate::net::{self, Asking, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
 use std::error::Error;
 use std::future::Future;
 use std::rc::Rc;
@@ -76,6 +76,7 @@
     pool: Rc<Pool>,
     bounds: Bounds,
     seed: u64,
+    asking: Asking,
     ended: mpsc::Sender<String>,
 }
 
@@ -109,7 +110,7 @@
             let most = self.bounds.answer_bytes;
             let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false, most);
             let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
-            let roster = Watch::new(fixed(&pool.discovery), names, pool.known.clone());
+            let roster = Watch::new(fixed(&pool.discovery), names, pool.known.clone(), self.asking);
             let gateway = self.start(&pool.model, file.settings(pool), tuning, engines, roster)?;
             models.push(Model {
                 name: pool.model.clone(),
@@ -163,11 +164,14 @@
         idle: config.idle_limit / 2,
     });
     let (ended, mut drivers_end) = mpsc::channel(1);
-    let drivers = Drivers { pool: pool.clone(), bounds, seed: config.seed, ended };
+    // A seed that is not told, or told twice, must not make gateways ask in step.
+    let stamp = gateway::Clock::default().now() ^ config.seed.rotate_left(32);
+    let asking = Asking { shared: config.shared_discovery, gateways: config.settings.replicas, seed: stamp };
+    let drivers = Drivers { pool: pool.clone(), bounds, seed: config.seed, asking, ended };
     let engines = HttpEngines::new(pool.clone(), config.load.clone(), true, bounds.answer_bytes);
     let tries = engines.tries();
     let address = reload.as_ref().map_or_else(|| fixed(&config.discovery), config::Reload::discovery);
-    let roster = Watch::new(address, config.names.clone(), config.known);
+    let roster = Watch::new(address, config.names.clone(), config.known, asking);
     let classes = config.settings.classes.clone();
     let longest = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let longest = Duration::from_micros(longest);
@@ -178,7 +182,6 @@
         tokio::task::spawn_local(follow(reload, chat.clone()));
     }
     let models = inference.as_ref().map(|file| drivers.models(file)).transpose()?;
-    let stamp = gateway::Clock::default().now() ^ config.seed.rotate_left(32);
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(RETIRE_EVERY).await;
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -8,7 +8,7 @@
 use super::route::Route;
 use super::send::{self, Begun};
 use super::take_in::{Caller, Rejected, Submission, Taken, Ticket};
-use super::{Answer, AttemptError, Call, Change, Clock, Engines, Gate, Limits, News, Replied, Reply};
+use super::{Answer, AttemptError, Call, Change, Clock, Engines, Gate, Limits, Listed, News, Replied, Reply};
 use crate::choice::Router;
 use crate::interface::*;
 use std::cell::{Cell, RefCell};
@@ -335,13 +335,17 @@
         };
         let ask = &taken.arrival;
         log::debug!(
-            "arrival request={} class={} tenant={} resumed={} prompt={} expires_ms={}",
+            "arrival request={} class={} tenant={} resumed={} prompt={} expires_ms={} session={:?} prefix={:?}:{} max_out={}",
             ask.id.0,
             ask.class,
             ask.tenant,
             ask.resumed,
             ask.prompt_tokens,
-            ask.expires_in / 1000
+            ask.expires_in / 1000,
+            ask.session,
+            ask.prefix,
+            ask.prefix_tokens,
+            ask.max_output_tokens
         );
         self.open.insert(ask.id.clone(), open);
         self.route.tell(Event::Request(taken.arrival));
@@ -429,7 +433,13 @@
     fn attempt_over(&mut self, id: RequestId, attempt: u32, status: Status, note: f64, load: Load) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(server) = open.over(attempt) {
-            log::debug!("outcome request={} n={attempt} server={:08x} {status:?}", id.0, server.0);
+            log::debug!(
+                "outcome request={} n={attempt} server={:08x} {status:?} note={note} share={:?} queued={:?}",
+                id.0,
+                server.0,
+                load.memory_share,
+                load.queued_kilotokens
+            );
             open.reached |= !matches!(status, Status::NoConnection | Status::Moot | Status::Full);
             let finished = open.answered;
             self.touched.push(id.clone());
@@ -444,6 +454,10 @@
                 self.route.tell(Event::Settings(settings));
             }
             News::Roster { form, engines } => {
+                for Listed { entry, name, .. } in &engines {
+                    let server = entry.server.0;
+                    log::debug!("listed uid={name} server={server:08x} {entry:?}");
+                }
                 for endpoint in self.roster.apply(form, &engines) {
                     self.engines.forget(&endpoint);
                 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 //! another address, and goes on at the old one until the new one has answered and is not behind: an older
 //! revision has nothing to tell of what was told since, so the engines known stay in use.
 
+use super::backoff::{Asking, Backoff};
 use super::pool::{Channel, Pool, PoolLimits};
 use crate::config::{List, Names, Numbers};
 use crate::gateway::{AttemptError, Change, Changes, Progress};
@@ -20,8 +21,6 @@
 const WAIT: Duration = Duration::from_secs(4);
 /// How much longer than it may wait an answer may take.
 const GRACE: Duration = Duration::from_secs(2);
-/// Pause after a failed call; a watch goes on only if it is renewed within 200 ms.
-const PAUSE: Duration = Duration::from_millis(50);
 /// How long a new address may be behind what was told before. By the protocol all that there is to tell has
 /// been told by then: a lower revision is another history, and its list counts.
 const BEHIND: Duration = Duration::from_secs(6);
@@ -34,12 +33,13 @@
     pool: Rc<Pool>,
     channel: Option<Channel>,
     revision: Option<u64>,
+    backoff: Backoff,
 }
 
 impl Source {
-    fn new(address: Arc<str>) -> Self {
+    fn new(address: Arc<str>, backoff: Backoff) -> Self {
         let limits = PoolLimits { connections: 2, buffer: BUFFER, dial_timeout: GRACE, idle: WAIT };
-        Self { address, pool: Pool::new(limits), channel: None, revision: None }
+        Self { address, pool: Pool::new(limits), channel: None, revision: None, backoff }
     }
 
     async fn ask(&mut self) -> Result<List, AttemptError> {
@@ -68,14 +68,23 @@
         self.channel = Some(channel);
         Ok(list)
     }
-    /// Hands on every answer that tells something, for as long as somebody listens.
+
+    /// Hands on every answer that tells something, for as long as somebody listens. A source that knows a
+    /// revision opens its watch from there.
     async fn run(mut self, number: u64, lists: mpsc::Sender<(u64, List)>) {
-        let mut failures = 0u32;
+        tokio::time::sleep(self.backoff.begin()).await;
         loop {
             match self.ask().await {
+                Ok(list) if !list.all && self.revision.is_some_and(|known| list.rev < known) => {
+                    // Its changes apply to another list than the one that is known.
+                    log::warn!("discovery at={} steps back rev={}: asked for all", self.address, list.rev);
+                    self.revision = None;
+                    tokio::time::sleep(self.backoff.failed().0).await;
+                }
                 Ok(list) => {
-                    if std::mem::take(&mut failures) > 0 {
-                        log::info!("discovery answers again at={}", self.address);
+                    let failures = self.backoff.answered();
+                    if failures > 0 {
+                        log::info!("discovery answers again at={} after failures={failures}", self.address);
                     }
                     // The first answer is the whole list also where it is empty.
                     let tells =
@@ -85,12 +94,11 @@
                     }
                 }
                 Err(error) => {
+                    let (pause, first) = self.backoff.failed();
                     // One line for each outage, not one for each call in it.
-                    if failures == 0 {
-                        log::warn!("discovery at={} {error}", self.address);
-                    }
-                    failures = failures.saturating_add(1);
-                    tokio::time::sleep(PAUSE).await;
+                    let level = if first { log::Level::Warn } else { log::Level::Debug };
+                    log::log!(level, "discovery at={} {error}", self.address);
+                    tokio::time::sleep(pause).await;
                 }
             }
         }
@@ -104,6 +112,7 @@
     /// The list as the gateway held it last, until it is handed on.
     known: Option<List>,
     address: watch::Receiver<Arc<str>>,
+    asking: Asking,
     /// Sources with their numbers; all but the newest end once that one has answered.
     sources: Vec<(u64, AbortHandle)>,
     begun: u64,
@@ -120,7 +129,12 @@
 impl Watch {
     /// A watch that begins with what is known and then asks for the whole list, at the address that is
     /// told last.
-    pub fn new(address: watch::Receiver<Arc<str>>, names: Names, known: Option<List>) -> Self {
+    pub fn new(
+        address: watch::Receiver<Arc<str>>,
+        names: Names,
+        known: Option<List>,
+        asking: Asking,
+    ) -> Self {
         let (found, lists) = mpsc::channel(1);
         let numbers = Numbers::default();
         let mut watch = Self {
@@ -128,6 +142,7 @@
             numbers,
             known,
             address,
+            asking,
             sources: Vec::new(),
             begun: 0,
             revision: 0,
@@ -143,7 +158,14 @@
     /// Begins at the address that was told last.
     fn begin(&mut self) {
         self.begun += 1;
-        let source = Source::new(self.address.borrow_and_update().clone());
+        let seed = self.asking.seed.wrapping_add(self.begun);
+        let mut source = Source::new(
+            self.address.borrow_and_update().clone(),
+            Backoff::new(Asking { seed, ..self.asking }),
+        );
+        // At a shared service a whole list costs each of its lines, and gateways that start together would wait
+        // for each other's: what has changed since the list that is known is enough. An agent's list is free.
+        source.revision = self.known.as_ref().filter(|_| self.asking.shared).map(|known| known.rev);
         let task = tokio::task::spawn_local(source.run(self.begun, self.found.clone()));
         self.sources.push((self.begun, task.abort_handle()));
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets: connections to engines, discovery's watch, the server side, and signals.
 
+mod backoff;
 mod clients;
 mod discovery;
 mod engines;
@@ -11,6 +12,7 @@
 mod signals;
 mod transport;
 
+pub use backoff::Asking;
 pub use clients::ServeLimits;
 pub use discovery::Watch;
 pub use engines::{HttpEngines, HttpEvents, Job, Manner};
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -52,7 +52,7 @@
 }
 
 /// Reads one message off a connection: its first line's words, its headers and its body.
-async fn message(stream: &mut TcpStream) -> Option<Seen> {
+pub async fn message(stream: &mut TcpStream) -> Option<Seen> {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
         text.push(stream.read_u8().await.ok()?);
