--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -232,10 +232,8 @@
     assert!(reader(&mut h, "later") < 4);
 }
 
-// A queue that all readers of a zone have is no reason to call a read off and have it wait anew elsewhere.
-#[test]
-fn read_is_overdue_against_the_waits_of_its_zone() {
-    let mut h = Harness::new(settings(), &[1, 2, 11]);
+/// Five reads that each take 0.75 s, and their answers.
+fn read_slowly(h: &mut Harness) {
     for n in 0..5 {
         let name = format!("slow{n}");
         h.ask(arrival(&name));
@@ -244,6 +242,13 @@
         h.first(&name, 1);
         h.ended(&name, 1, Status::Served);
     }
+}
+
+// A queue that all readers of a zone have is no reason to call a read off and have it wait anew elsewhere.
+#[test]
+fn read_is_overdue_against_the_waits_of_its_zone() {
+    let mut h = Harness::new(settings(), &[1, 2, 11]);
+    read_slowly(&mut h);
     h.ask(Arrival { prompt_tokens: 1.0, ..arrival("waits") });
     let cancelled = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Cancel { .. }));
     assert!(!cancelled(&h.wait(1_500_000)));
@@ -255,14 +260,7 @@
 #[test]
 fn waits_of_warm_readers_say_nothing_of_one_just_started() {
     let mut h = Harness::new(settings(), &[1, 2, 11]);
-    for n in 0..5 {
-        let name = format!("slow{n}");
-        h.ask(arrival(&name));
-        h.now += 750_000;
-        h.ended(&name, 0, Status::Read);
-        h.first(&name, 1);
-        h.ended(&name, 1, Status::Served);
-    }
+    read_slowly(&mut h);
     let young = Entry { started_at: h.now - 13_000_000, ..entry(3) };
     h.roster(vec![entry(1), entry(2), young, entry(11)]);
     let names = (0..40).map(|n| format!("a{n}"));
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -3,6 +3,7 @@
 mod loopback;
 use loopback::*;
 use std::time::Duration;
+use tokio::task::spawn_local;
 
 // Told another address the gateway stayed at the old one, and sent to engines long gone.
 #[tokio::test]
@@ -120,3 +121,43 @@
     })
     .await;
 }
+
+// Several orders in a row, with one that makes no sense among them, and the end right after: what had been taken
+// is answered, the last address counts, and the program ends in order.
+#[rstest::rstest]
+#[case::moved_then_stopped(&["away", "spoilt", "back"])]
+#[case::spoilt_then_stopped(&["spoilt"])]
+#[case::stopped_alone(&[])]
+#[tokio::test]
+async fn orders_in_a_row_and_the_end_right_after_lose_nothing(#[case] orders: &[&str]) {
+    local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        let old = Discovery::start(&[&reader, &writer]).await;
+        let daemon = Daemon::start(&old, None).await;
+        let nothing = closed_port().await;
+        let address = daemon.address;
+        let asked = (0..8).map(|n| format!("a{n}"));
+        let taken: Vec<_> = asked
+            .map(|id| spawn_local(async move { chat(address, &id, "lookup", 9000).await.status }))
+            .collect();
+        // Each comes to its first engine before the orders do.
+        until("taken", async || reader.count("/v1/") == 8).await;
+        for order in orders {
+            match *order {
+                "away" => daemon.move_discovery(nothing).await,
+                "back" => daemon.move_discovery(old.address).await,
+                _ => daemon.reread(r#"{"listen":"#).await,
+            }
+        }
+        daemon.stop.notify_one();
+        for answer in taken {
+            assert_eq!(answer.await.expect("an answer"), 200);
+        }
+        tokio::time::timeout(Duration::from_secs(15), daemon.ended)
+            .await
+            .expect("in time")
+            .expect("in order");
+        assert_eq!(writer.count("/v1/"), 8, "nothing was written twice");
+    })
+    .await;
+}
