Take a cold part's constant out of the loop over servers, and mend comments that had drifted

Read again as a whole: src/choice.rs summed the tenants' shares and aged the last requests once for each server that is cold, at each arrival and each waiting request, for one and the same figure; candidates now asks once. The comments on the first call of a watch, on what a watch asks and on the service in two tests said something else than the code.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -701,7 +701,9 @@
     fn candidates(&self, request: &Request, reading: bool) -> Vec<ServerId> {
         let mut open = self.well(reading);
         let home = reading.then(|| self.homes(request).0.first().copied()).flatten();
-        open.retain(|s| self.may_send(request, *s) && self.cold_lot(request, *s, home));
+        // Within the rule's multiple of what warm ones bear now, whatever the shares were set to.
+        let used = (COLD_PART * self.ahead()).min(1.0);
+        open.retain(|s| self.may_send(request, *s) && self.cold_lot(request, *s, home, used));
         let new = |s: &ServerId| request.attempts.iter().all(|a| a.server != *s);
         if open.iter().any(new) {
             open.retain(new);
@@ -711,7 +713,7 @@
 
     /// Whether a request is of the part that a server just started may be sent: by lot, so that any number of
     /// routers sends it no more than that of its zone's traffic. A reader gets it of what has its home there.
-    fn cold_lot(&self, request: &Request, id: ServerId, home: Option<ServerId>) -> bool {
+    fn cold_lot(&self, request: &Request, id: ServerId, home: Option<ServerId>, used: f64) -> bool {
         let server = &self.servers[&id];
         let warmth = self.warmth(server);
         if warmth >= 1.0 || server.role == Role::Read && home != Some(id) {
@@ -720,9 +722,7 @@
         let near = (server.role == Role::Read, server.entry.zone);
         let peers = self.peers.get(&near).copied().unwrap_or(self.servers.len() as f64);
         let asked = if home.is_some() { self.home_part(id).max(1.0 / peers) } else { 1.0 };
-        // Within the rule's multiple of what warm ones bear now, whatever the shares were set to.
-        let part =
-            (COLD_PART * self.ahead()).min(1.0) * warmth * self.settings.overload_factor / peers / asked;
+        let part = used * warmth * self.settings.overload_factor / peers / asked;
         draw(mix(request.session_lot, server.entry.started_at ^ u64::from(id.0))) < part
     }
 
--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -49,7 +49,7 @@
         Self { begin, first, longest, failures: 0, draws: fastrand::Rng::with_seed(seed) }
     }
 
-    /// How long to wait before the first call, if a list is known until then.
+    /// How long to wait before the first call.
     pub(super) fn begin(&mut self) -> Duration {
         self.begin.mul_f64(self.draws.f64())
     }
@@ -108,8 +108,8 @@
         (Some(last / S), calls)
     }
 
-    // Asked at once by all, and again 50 ms after each failure, such a service never answered more than the
-    // first hundred.
+    // Asked at once by all, and again 50 ms after each failure, such a service has a full queue for good, and
+    // answers nobody in time any more.
     #[rstest]
     #[case(100, 30)]
     #[case(100, 10)]
@@ -128,7 +128,7 @@
     #[case(100)]
     #[case(350)]
     fn a_service_that_is_down_is_asked_a_few_times_a_second(#[case] gateways: u32) {
-        // One call takes as long as the whole play: none is answered but the first.
+        // As good as down: it does one call a second, and but for the first few all wait in vain.
         let calls = |until_s| play(gateways, 1, until_s).1 as f64;
         let a_second = (calls(160) - calls(80)) / 80.0;
         let most = (f64::from(gateways) / LONGEST.1.as_secs_f64()).max(7.0);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -127,8 +127,8 @@
 }
 
 impl Watch {
-    /// A watch that begins with what is known and then asks for the whole list, at the address that is
-    /// told last.
+    /// A watch that begins with what is known and then asks, at the address that is told last, for the whole
+    /// list, or at a shared service for what has changed since.
     pub fn new(
         address: watch::Receiver<Arc<str>>,
         names: Names,
