Close a silent operators' call at once where another call waits for its place

All 24 places were taken by silent callers; later than idle_least (500 ms) those in the middle of a call are chosen to make room like any other (src/net/clients.rs, make_room), but then wrote 408 and lingered up to 1.5 s in their place (src/net/serve.rs, the end of connection), so that the caller for whom it was made was closed as Place::None. Ruled out: the one yield in Clients::take, since closing a connection that never said anything frees its place within it.

A connection that is asked to make way now closes without lingering.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -57,6 +57,8 @@
     begun: Cell<Instant>,
     /// Whether it was asked to close.
     leaving: Cell<bool>,
+    /// Whether another connection waits for its place.
+    awaited: Cell<bool>,
     close: Notify,
 }
 
@@ -71,6 +73,7 @@
             quiet_since: Cell::new(now),
             begun: Cell::new(now),
             leaving: Cell::new(false),
+            awaited: Cell::new(false),
             close: Notify::new(),
         }
     }
@@ -116,9 +119,21 @@
         self.close.notify_one();
     }
 
+    /// Has it closed so that another can have its place at once.
+    fn make_way(&self) {
+        self.awaited.set(true);
+        self.ask_to_close();
+    }
+
+    /// Whether another connection waits for its place: it must not linger.
+    pub(super) fn is_awaited(&self) -> bool {
+        self.awaited.get()
+    }
+
     /// Stays, since something came in the last moment.
     pub(super) fn stay(&self) {
         self.leaving.set(false);
+        self.awaited.set(false);
     }
 
     /// How long it has been quiet, if no request is open on it.
@@ -320,7 +335,7 @@
         let least = open.max_by_key(|(quiet, s)| (*quiet >= self.limits.idle_least, !s.is_used(), *quiet));
         match least {
             Some((_, standing)) => {
-                standing.ask_to_close();
+                standing.make_way();
                 false
             }
             None => full,
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -211,7 +211,8 @@
         log::debug!("connection ended {error}");
     }
     standing.leave();
-    if standing.in_request() {
+    // One that lingered in the place that another is to have would have that one closed without a word.
+    if standing.in_request() && !standing.is_awaited() {
         linger(&standing.stream, limits.buffer).await;
     }
 }
--- a/tests/management.rs
+++ b/tests/management.rs
@@ -130,20 +130,24 @@
     .await;
 }
 
-// Callers that say nothing filled the few places there are, and operators were not heard.
+// Callers that say nothing filled the few places there are, and operators were not heard. Those that had said
+// half a call lingered in the place that was to be made free, and the next caller was closed without a word.
+#[rstest::rstest]
+#[case::half_of_them_in_a_call(2, 300)]
+#[case::all_in_a_call_for_long(1, 700)]
 #[tokio::test]
-async fn silent_callers_leave_room_for_operators() {
+async fn silent_callers_leave_room_for_operators(#[case] in_a_call_every: usize, #[case] after_ms: u64) {
     local(async {
         let w = World::start().await;
         let mut silent = Vec::new();
         for n in 0..40 {
             let mut stream = TcpStream::connect(w.daemon.management).await.expect("it listens");
-            if n % 2 == 0 {
+            if n % in_a_call_every == 0 {
                 stream.write_all(b"GET /ops/sta").await.expect("written");
             }
             silent.push(stream);
         }
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        tokio::time::sleep(Duration::from_millis(after_ms)).await;
         for _ in 0..8 {
             assert_eq!(w.order("GET", "/ops/readiness").await.status, 200);
         }
