Open a silent watch anew a second earlier, and spread first calls by what the settings say

What a watch misses that has fallen silent counts as told 6 s later. It was given up after 4 + 2 s, exactly then (src/net/discovery.rs, WAIT and GRACE), and where discovery is one service a pause of 0.5 to 1.5 s followed: the drain rule was kept by luck. It waits 3 s now, and one that was open and fell silent is opened anew without a pause; gateways notice it at moments of their own.

Where discovery is one service: a gateway that was moved to another address waited its lot of up to 8 s, though what is to be told counts 4 s after the order; it opens its watch there from the revision that it knows, within 2 s. One without any list asks within 1 s. The longest lots follow rules.askWithinMs rather than this deployment's 10 s. A pool of embeddings or rerank may say its own membershipMode.

Where clients do not ask for the rest of an answer, requests are taken for 0.6 s after the order to stop, not 1.4 s: what comes later than 0.7 s and still runs when the program is killed is lost.

SIGHUP and SIGTERM before the first list have tests on sockets.

--- a/src/config/inference.rs
+++ b/src/config/inference.rs
@@ -27,6 +27,16 @@
     Unsafe,
 }
 
+/// How the list of engines comes.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum MembershipMode {
+    /// An agent beside the gateway is told.
+    Push,
+    /// One service is asked by all gateways.
+    Ask,
+}
+
 /// The engines of one model, and how calls to it are handled.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
@@ -49,6 +59,9 @@
     pub max_inputs: usize,
     /// Where the list of engines is watched.
     pub discovery: String,
+    /// Whether that is one service that all gateways ask; as for chat if absent.
+    #[serde(default)]
+    pub membership_mode: Option<MembershipMode>,
     /// The list to begin with.
     #[serde(default)]
     pub known: Option<List>,
@@ -144,6 +157,8 @@
     #[case::no_such_api("rerank", "summarise", "unknown variant")]
     #[case::no_such_effect("safe", "maybe", "unknown variant")]
     #[case::misspelt_key("aimMs", "aimms", "unknown field")]
+    #[case::no_such_mode(r#""aimMs""#, r#""membershipMode":"guess","aimMs""#, "unknown variant")]
+    #[case::mode_of_its_own(r#""aimMs""#, r#""membershipMode":"push","aimMs""#, "")]
     #[case::no_address("127.0.0.1:1", "engines", "discovery")]
     #[case::no_model(r#""m""#, r#""""#, "model")]
     fn file_is_checked(#[case] from: &str, #[case] to: &str, #[case] complaint: &str) {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,7 +7,7 @@
 mod shared;
 
 pub use bounds::{Bounds, Resources};
-pub use inference::{Api, Inference, InferencePool, Repeat};
+pub use inference::{Api, Inference, InferencePool, MembershipMode, Repeat};
 pub use list::{List, Names, Numbers, Target, place};
 pub use reload::Reload;
 pub use shared::{Orders, Shared};
@@ -120,6 +120,7 @@
     warm_after_ms: Option<f64>,
     overload_factor: Option<f64>,
     fall_ms: Option<f64>,
+    ask_within_ms: Option<f64>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -180,6 +181,8 @@
     pub discovery: String,
     /// Whether discovery is one service that all gateways ask, rather than an agent that is told.
     pub shared_discovery: bool,
+    /// After what time without a watch there what is listed counts as told.
+    pub told_after: Duration,
     /// Where operators connect, if they do.
     pub management: Option<String>,
     /// For random numbers.
@@ -241,6 +244,7 @@
             listen: file.listen,
             discovery: file.discovery,
             shared_discovery: told.membership_mode == "ask",
+            told_after: Duration::from_micros(span(told.rules.ask_within_ms, 10_000_000)),
             management: file.management,
             resources: file.limits,
             known: file.known,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,6 +24,9 @@
 /// deadline: another gateway may be restarting just then.
 const LEAVING: Duration = Duration::from_millis(500);
 const LEAVING_PART: f64 = 0.3;
+/// Where clients do not ask for the rest of an answer no more is taken that could still run when the program is
+/// killed: what comes within this time of the order may (protocol: 0.7 s).
+const LEAVING_WHOLE: Duration = Duration::from_millis(600);
 /// When running answers are handed over, as parts of the time until the end, first and last: late, so that
 /// most end by themselves and a gateway that stopped before this one is back.
 const HAND_OVER: (f64, f64) = (0.65, 0.85);
@@ -110,7 +113,9 @@
             let most = self.bounds.answer_bytes;
             let engines = HttpEngines::new(self.pool.clone(), config::LoadNames::default(), false, most);
             let names = config::Names { kinds: vec![pool.model.clone()], ..config::Names::default() };
-            let roster = Watch::new(fixed(&pool.discovery), names, pool.known.clone(), self.asking);
+            let mode = pool.membership_mode.map(|mode| mode == config::MembershipMode::Ask);
+            let asking = Asking { shared: mode.unwrap_or(self.asking.shared), ..self.asking };
+            let roster = Watch::new(fixed(&pool.discovery), names, pool.known.clone(), asking);
             let gateway = self.start(&pool.model, file.settings(pool), tuning, engines, roster)?;
             models.push(Model {
                 name: pool.model.clone(),
@@ -166,7 +171,12 @@
     let (ended, mut drivers_end) = mpsc::channel(1);
     // A seed that is not told, or told twice, must not make gateways ask in step.
     let stamp = gateway::Clock::default().now() ^ config.seed.rotate_left(32);
-    let asking = Asking { shared: config.shared_discovery, gateways: config.settings.replicas, seed: stamp };
+    let asking = Asking {
+        shared: config.shared_discovery,
+        gateways: config.settings.replicas,
+        seed: stamp,
+        told_after: config.told_after,
+    };
     let drivers = Drivers { pool: pool.clone(), bounds, seed: config.seed, asking, ended };
     let engines = HttpEngines::new(pool.clone(), config.load.clone(), true, bounds.answer_bytes);
     let tries = engines.tries();
@@ -249,7 +259,8 @@
         hand_over: config.resume.then_some((asked + first, last - first)),
     });
     if !superseded {
-        tokio::time::sleep(LEAVING + counted.mul_f64(LEAVING_PART)).await;
+        let leaving = LEAVING + counted.mul_f64(LEAVING_PART);
+        tokio::time::sleep(if config.resume { leaving } else { leaving.min(LEAVING_WHOLE) }).await;
         phase.send_replace(Phase::Closing);
     }
     served.await?;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,7 +2,7 @@
 //! another address, and goes on at the old one until the new one has answered and is not behind: an older
 //! revision has nothing to tell of what was told since, so the engines known stay in use.
 
-use super::backoff::{Asking, Backoff};
+use super::backoff::{Asking, Backoff, Opening};
 use super::pool::{Channel, Pool, PoolLimits};
 use crate::config::{List, Names, Numbers};
 use crate::gateway::{AttemptError, Change, Changes, Progress};
@@ -17,8 +17,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// How long a watch may wait for news.
-const WAIT: Duration = Duration::from_secs(4);
+/// How long a watch may wait for news. With the grace it is a second less than the 6 s after which, by the
+/// protocol, what a silent watch misses counts as told: the next one has to be open and answered by then.
+const WAIT: Duration = Duration::from_secs(3);
 /// How much longer than it may wait an answer may take.
 const GRACE: Duration = Duration::from_secs(2);
 /// How long a new address may be behind what was told before. By the protocol all that there is to tell has
@@ -71,8 +72,9 @@
 
     /// Hands on every answer that tells something, for as long as somebody listens. A source that knows a
     /// revision opens its watch from there.
-    async fn run(mut self, number: u64, lists: mpsc::Sender<(u64, List)>) {
-        tokio::time::sleep(self.backoff.begin()).await;
+    async fn run(mut self, opening: Opening, number: u64, lists: mpsc::Sender<(u64, List)>) {
+        tokio::time::sleep(self.backoff.begin(opening)).await;
+        let mut open = false;
         loop {
             match self.ask().await {
                 Ok(list) if !list.all && self.revision.is_some_and(|known| list.rev < known) => {
@@ -82,6 +84,7 @@
                     tokio::time::sleep(self.backoff.failed().0).await;
                 }
                 Ok(list) => {
+                    open = true;
                     let failures = self.backoff.answered();
                     if failures > 0 {
                         log::info!("discovery answers again at={} after failures={failures}", self.address);
@@ -94,7 +97,13 @@
                     }
                 }
                 Err(error) => {
-                    let (pause, first) = self.backoff.failed();
+                    let open = std::mem::take(&mut open);
+                    let (mut pause, first) = self.backoff.failed();
+                    if open && error.progress == Progress::TimedOut {
+                        // A watch that fell silent is broken, and the service may be well: what it misses
+                        // counts as told soon. Gateways notice it at moments of their own.
+                        pause = Duration::ZERO;
+                    }
                     // One line for each outage, not one for each call in it.
                     let level = if first { log::Level::Warn } else { log::Level::Debug };
                     log::log!(level, "discovery at={} {error}", self.address);
@@ -116,8 +125,9 @@
     /// Sources with their numbers; all but the newest end once that one has answered.
     sources: Vec<(u64, AbortHandle)>,
     begun: u64,
-    /// The revision of what was handed on last.
+    /// The revision of what was handed on last, and whether anything was.
     revision: u64,
+    has_list: bool,
     /// The newest source, once it was found behind, and when that is no longer believed of it.
     behind: Option<(u64, Instant)>,
     /// The source whose list counts whatever its revision.
@@ -146,17 +156,19 @@
             sources: Vec::new(),
             begun: 0,
             revision: 0,
+            has_list: false,
             behind: None,
             believed: 0,
             lists,
             found,
         };
-        watch.begin();
+        let known = watch.known.as_ref().map(|known| known.rev);
+        watch.begin(known.map_or(Opening::Blank, |_| Opening::Known), known);
         watch
     }
 
-    /// Begins at the address that was told last.
-    fn begin(&mut self) {
+    /// Begins at the address that was told last, from a revision if one is known.
+    fn begin(&mut self, opening: Opening, from: Option<u64>) {
         self.begun += 1;
         let seed = self.asking.seed.wrapping_add(self.begun);
         let mut source = Source::new(
@@ -165,8 +177,8 @@
         );
         // At a shared service a whole list costs each of its lines, and gateways that start together would wait
         // for each other's: what has changed since the list that is known is enough. An agent's list is free.
-        source.revision = self.known.as_ref().filter(|_| self.asking.shared).map(|known| known.rev);
-        let task = tokio::task::spawn_local(source.run(self.begun, self.found.clone()));
+        source.revision = from.filter(|_| self.asking.shared);
+        let task = tokio::task::spawn_local(source.run(opening, self.begun, self.found.clone()));
         self.sources.push((self.begun, task.abort_handle()));
     }
 
@@ -200,7 +212,7 @@
             }
             *source != number
         });
-        self.begin();
+        self.begin(Opening::Moved, None);
         self.believed = self.begun;
     }
 
@@ -222,7 +234,7 @@
     async fn next(&mut self) -> Option<Change> {
         if let Some(mut known) = self.known.take() {
             known.all = true;
-            self.revision = known.rev;
+            (self.revision, self.has_list) = (known.rev, true);
             return Some(known.change(&self.names, &mut self.numbers));
         }
         loop {
@@ -234,13 +246,15 @@
                             return Some(change);
                         }
                     } else if self.accept(number) {
-                        self.revision = list.rev;
+                        (self.revision, self.has_list) = (list.rev, true);
                         return Some(list.change(&self.names, &mut self.numbers));
                     }
                 }
                 Ok(()) = self.address.changed() => {
                     log::info!("discovery moves to={}", *self.address.borrow());
-                    self.begin();
+                    // Without a list so far there is nothing to go on from.
+                    let from = Some(self.revision).filter(|_| self.has_list);
+                    self.begin(from.map_or(Opening::Blank, |_| Opening::Moved), from);
                 }
                 () = tokio::time::sleep_until(until), if self.behind.is_some() => self.believe(),
             }
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -2,6 +2,7 @@
 
 mod loopback;
 use loopback::*;
+use serde_json::json;
 use std::time::Duration;
 use tokio::task::spawn_local;
 
@@ -161,3 +162,38 @@
     })
     .await;
 }
+
+// Asked to move or to end before it had ever heard of an engine: a start into an outage of discovery.
+#[rstest::rstest]
+#[case::moved_to_where_there_is_a_list(&["away", "there"], true)]
+#[case::nothing_but_orders_without_sense(&["spoilt", "away", "spoilt"], false)]
+#[case::no_order(&[], false)]
+#[tokio::test]
+async fn orders_before_the_first_list(#[case] orders: &[&str], #[case] serves: bool) {
+    local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        let discovery = Discovery::start(&[&reader, &writer]).await;
+        let nothing = closed_port().await;
+        let daemon = Daemon::before_its_list(json!({}), nothing, None).await;
+        assert!(!daemon.is_ready().await);
+        for order in orders {
+            match *order {
+                "away" => daemon.move_discovery(closed_port().await).await,
+                "there" => daemon.move_discovery(discovery.address).await,
+                _ => daemon.reread(r#"{"listen":"#).await,
+            }
+        }
+        if serves {
+            until("ready", async || daemon.is_ready().await).await;
+            assert_eq!(chat(daemon.address, "a1", "lookup", 9000).await.status, 200);
+        } else {
+            // It waits for an engine no longer than its client does, and says so.
+            let answer = chat(daemon.address, "a1", "lookup", 300).await;
+            assert!((400..600).contains(&answer.status), "{}", answer.status);
+        }
+        daemon.stop.notify_one();
+        let ended = tokio::time::timeout(Duration::from_secs(15), daemon.ended).await;
+        ended.expect("in time").expect("in order");
+    })
+    .await;
+}
