Follow another address of discovery from its first answer also where that is empty

A gateway moved to another shared service opens its watch from the revision it knows. Where nothing had changed since, the empty answer was not handed on (src/net/discovery.rs, run), so the old address went on being called, and failing, until the next change. The first answer of each source tells now; an empty change does nothing else. A case of first_call_at_another_address waits in vain for it without the change.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -84,14 +84,14 @@
                     tokio::time::sleep(self.backoff.failed().0).await;
                 }
                 Ok(list) => {
-                    open = true;
+                    // The first answer tells, also where it is empty, that this address can be followed.
+                    let first = !std::mem::replace(&mut open, true);
                     let failures = self.backoff.answered();
                     if failures > 0 {
                         log::info!("discovery answers again at={} after failures={failures}", self.address);
                     }
-                    // The first answer is the whole list also where it is empty.
-                    let tells =
-                        self.revision.replace(list.rev).is_none() || list.all || !list.targets.is_empty();
+                    self.revision = Some(list.rev);
+                    let tells = first || list.all || !list.targets.is_empty();
                     if tells && lists.send((number, list)).await.is_err() {
                         return;
                     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -86,23 +86,33 @@
 // Told another address of a shared service, each gateway asked it for the whole list, each line of which is work
 // there; what has changed since the list so far is enough.
 #[rstest]
-#[case::shared_from_what_was_told(true, "?index=5&wait=3000")]
-#[case::an_agent_for_its_whole_list(false, "")]
+#[case::shared_from_what_was_told(true, &[R6], "?index=5&wait=3000")]
+#[case::shared_with_nothing_new_at_first(true, &[NOTHING_NEW, R6], "?index=5&wait=3000")]
+#[case::an_agent_for_its_whole_list(false, &[R6], "")]
 #[tokio::test]
-async fn first_call_at_another_address(#[case] shared: bool, #[case] query: &str) {
+async fn first_call_at_another_address(
+    #[case] shared: bool,
+    #[case] answers: &'static [&'static str],
+    #[case] query: &str,
+) {
     local(async {
         let (old, _) = scripted(&[R2]).await;
-        let (new, asked) = scripted(&[R6]).await;
+        let (new, asked) = scripted(answers).await;
         let (mut watch, told) = watch(&old, shared);
         next(&mut watch).await;
         assert_eq!(next(&mut watch).await.0, 5);
         told.send(new.into()).expect("it listens");
+        if answers.len() > 1 {
+            // Nothing has changed, but from now on it is this one that is followed.
+            assert_eq!(next(&mut watch).await, (5, Vec::new()));
+        }
         assert_eq!(next(&mut watch).await, (6, vec!["r6".to_owned()]));
         assert_eq!(asked.borrow()[0], format!("/v1/endpoints{query}"));
     })
     .await;
 }
 
+const NOTHING_NEW: &str = r#"200 {"rev":5,"all":false,"targets":[]}"#;
 const R6: &str = r#"200 {"rev":6,"all":false,"targets":[{"uid":"r6","endpoint":"e:6","model":"reader","state":"SERVING"}]}"#;
 
 // What a watch misses that has fallen silent counts as told 6 s later: the next one has to be answered by then.
