--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -108,3 +108,23 @@
     })
     .await;
 }
+
+// Told to end, the gateway held an answer whose engine had hung until it was killed, and its client with it.
+#[tokio::test]
+async fn answer_that_hangs_is_cut_off_before_a_stopping_gateway_is_killed() {
+    local(async {
+        let w = World::start(stream!("f\r\ndata: {\"a\":1}\n\n\r\n")).await;
+        let address = w.daemon.address;
+        let asked = tokio::task::spawn_local(async move { chat(address, "a1", "lookup", 9000).await });
+        until("sent on", async || w.runs() == 1).await;
+        let told = Instant::now();
+        w.daemon.stop.notify_one();
+        let answer = asked.await.expect("an answer");
+        // It is killed 3.7 s after it was told.
+        assert!(told.elapsed() < Duration::from_millis(3650), "{:?}", told.elapsed());
+        assert!(answer.status == 200 && answer.body.contains("data") && !answer.whole, "{answer:?}");
+        assert_eq!(w.runs(), 1, "it may have run");
+        tokio::time::timeout(Duration::from_secs(5), w.daemon.ended).await.expect("ends").expect("well");
+    })
+    .await;
+}
