Keep discovery's revision as one optional value, and one figure for a call's grace

Read again as a whole: Watch kept a revision beside a flag that said whether there was one, and backoff.rs had the 2 s that a call may take beyond its wait a second time, as CALL beside discovery's GRACE, under a comment that spoke of the spans after it. The revision is an Option now, GRACE stands in backoff.rs and discovery takes it from there, and the pause after a silent watch is reckoned in one expression.

--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -39,10 +39,10 @@
 /// Span for each gateway over which the first calls at a shared service spread. They are few lines each, from
 /// the list that is known.
 const BEGIN_EACH: Duration = Duration::from_millis(40);
-/// The longest such span: at the start it leaves a call time to be answered before what it would tell counts
-/// as told; at a new address that is 4 s after the order (protocol), and a gateway without a list takes no
-/// client meanwhile.
-const CALL: Duration = Duration::from_secs(2);
+/// How much longer than it may wait for news a call may take.
+pub(super) const GRACE: Duration = Duration::from_secs(2);
+/// The longest such span at a new address, where all counts as told 4 s after the order (protocol), and without
+/// a list, when the gateway takes no client. At the start a call has its grace before what it would tell counts.
 const MOVED_MOST: Duration = Duration::from_secs(2);
 const BLANK_MOST: Duration = Duration::from_secs(1);
 /// First pause at a shared service, and its longest for each gateway, with bounds: one that is
@@ -76,7 +76,7 @@
         } else {
             (Duration::ZERO, AGENT.0, AGENT.1)
         };
-        let begin_most = told_after.saturating_sub(CALL);
+        let begin_most = told_after.saturating_sub(GRACE);
         Self { begin, begin_most, first, longest, failures: 0, draws: fastrand::Rng::with_seed(seed) }
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,7 +2,7 @@
 //! another address, and goes on at the old one until the new one has answered and is not behind: an older
 //! revision has nothing to tell of what was told since, so the engines known stay in use.
 
-use super::backoff::{Asking, Backoff, Opening};
+use super::backoff::{Asking, Backoff, GRACE, Opening};
 use super::pool::{Channel, Pool, PoolLimits};
 use crate::config::{List, Names, Numbers};
 use crate::gateway::{AttemptError, Change, Changes, Progress};
@@ -20,8 +20,6 @@
 /// How long a watch may wait for news. With the grace it is a second less than the 6 s after which, by the
 /// protocol, what a silent watch misses counts as told: the next one has to be open and answered by then.
 const WAIT: Duration = Duration::from_secs(3);
-/// How much longer than it may wait an answer may take.
-const GRACE: Duration = Duration::from_secs(2);
 /// How long a new address may be behind what was told before. By the protocol all that there is to tell has
 /// been told by then: a lower revision is another history, and its list counts.
 const BEHIND: Duration = Duration::from_secs(6);
@@ -97,13 +95,11 @@
                     }
                 }
                 Err(error) => {
-                    let open = std::mem::take(&mut open);
-                    let (mut pause, first) = self.backoff.failed();
-                    if open && error.progress == Progress::TimedOut {
-                        // A watch that fell silent is broken, and the service may be well: what it misses
-                        // counts as told soon. Gateways notice it at moments of their own.
-                        pause = Duration::ZERO;
-                    }
+                    let (pause, first) = self.backoff.failed();
+                    // A watch that fell silent is broken, and the service may be well: what it misses counts as
+                    // told soon. Gateways notice it at moments of their own.
+                    let silent = std::mem::take(&mut open) && error.progress == Progress::TimedOut;
+                    let pause = if silent { Duration::ZERO } else { pause };
                     // One line for each outage, not one for each call in it.
                     let level = if first { log::Level::Warn } else { log::Level::Debug };
                     log::log!(level, "discovery at={} {error}", self.address);
@@ -125,9 +121,8 @@
     /// Sources with their numbers; all but the newest end once that one has answered.
     sources: Vec<(u64, AbortHandle)>,
     begun: u64,
-    /// The revision of what was handed on last, and whether anything was.
-    revision: u64,
-    has_list: bool,
+    /// The revision of what was handed on last, once anything was.
+    revision: Option<u64>,
     /// The newest source, once it was found behind, and when that is no longer believed of it.
     behind: Option<(u64, Instant)>,
     /// The source whose list counts whatever its revision.
@@ -155,8 +150,7 @@
             asking,
             sources: Vec::new(),
             begun: 0,
-            revision: 0,
-            has_list: false,
+            revision: None,
             behind: None,
             believed: 0,
             lists,
@@ -183,20 +177,21 @@
     }
 
     /// Whether an answer tells less than was told: it comes from an address that is not followed yet.
-    fn is_behind(&self, number: u64, list: &List) -> bool {
+    /// Gives the revision that was told.
+    fn behind_what(&self, number: u64, list: &List) -> Option<u64> {
         let followed = self.sources.first().is_some_and(|(oldest, _)| number <= *oldest);
-        !followed && number != self.believed && list.rev < self.revision
+        self.revision.filter(|known| !followed && number != self.believed && list.rev < *known)
     }
 
     /// What counts of an answer that is behind: drains do, whoever tells of them. Nothing comes back into use
     /// by it and nothing that it lacks is gone.
-    fn of_behind(&mut self, number: u64, mut list: List) -> Option<Change> {
+    fn of_behind(&mut self, number: u64, known: u64, mut list: List) -> Option<Change> {
         if self.behind.is_none_or(|(source, _)| source != number) {
-            log::warn!("discovery is behind rev={} known={}: engines known stay", list.rev, self.revision);
+            log::warn!("discovery is behind rev={} known={known}: engines known stay", list.rev);
             self.behind = Some((number, Instant::now() + BEHIND));
         }
         list.targets.retain(|target| !target.is_serving() && self.numbers.knows(target));
-        (list.rev, list.all) = (self.revision, false);
+        (list.rev, list.all) = (known, false);
         (!list.targets.is_empty()).then(|| list.change(&self.names, &mut self.numbers))
     }
 
@@ -205,7 +200,8 @@
         let Some((number, _)) = self.behind.take().filter(|(number, _)| *number == self.begun) else {
             return;
         };
-        log::warn!("discovery stays behind, its list counts from now on known={}", self.revision);
+        let known = self.revision.unwrap_or(0);
+        log::warn!("discovery stays behind, its list counts from now on known={known}");
         self.sources.retain(|(source, task)| {
             if *source == number {
                 task.abort();
@@ -234,27 +230,27 @@
     async fn next(&mut self) -> Option<Change> {
         if let Some(mut known) = self.known.take() {
             known.all = true;
-            (self.revision, self.has_list) = (known.rev, true);
+            self.revision = Some(known.rev);
             return Some(known.change(&self.names, &mut self.numbers));
         }
         loop {
             let until = self.behind.map_or_else(Instant::now, |(_, until)| until);
             tokio::select! {
                 Some((number, list)) = self.lists.recv() => {
-                    if self.is_behind(number, &list) {
-                        if let Some(change) = self.of_behind(number, list) {
+                    if let Some(known) = self.behind_what(number, &list) {
+                        if let Some(change) = self.of_behind(number, known, list) {
                             return Some(change);
                         }
                     } else if self.accept(number) {
-                        (self.revision, self.has_list) = (list.rev, true);
+                        self.revision = Some(list.rev);
                         return Some(list.change(&self.names, &mut self.numbers));
                     }
                 }
                 Ok(()) = self.address.changed() => {
                     log::info!("discovery moves to={}", *self.address.borrow());
                     // Without a list so far there is nothing to go on from.
-                    let from = Some(self.revision).filter(|_| self.has_list);
-                    self.begin(from.map_or(Opening::Blank, |_| Opening::Moved), from);
+                    let opening = self.revision.map_or(Opening::Blank, |_| Opening::Moved);
+                    self.begin(opening, self.revision);
                 }
                 () = tokio::time::sleep_until(until), if self.behind.is_some() => self.believe(),
             }
