Begin no attempt for a client that has gone, also where it pipelined before it went

Compared with what the program did, on sockets: a close, a half-close and a reset were seen at once, in every stage. And where the settings do not allow attempts to be called off, one whose connection was still coming up was written all the same (driver.rs, take_gone and send; tests/core.rs fails without the change).

Change: while a request is being answered its connection is read ahead of the parser, up to the connection's buffer, and what came is kept for the parser (clients.rs, client_gone). Beyond that only the poller's word of the end is left, asked every 50 ms. serve.rs looks at it before anything else each time the request's task runs, and the answer's body does so too. The gate that is asked before the first byte is written now knows also whether somebody still waits.

Ruled out: attempts in the queue, between read and write and after a failure were given up before as well; the module's part has a test of its own now (tests/dangers.rs).

--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -185,6 +185,8 @@
     /// How many attempts are out; the book looks at it before it tries a release again.
     out: Rc<Cell<usize>>,
     answered: bool,
+    /// Whether somebody still waits for its answer; asked before an attempt is written.
+    wanted: Rc<Cell<bool>>,
     /// Whether an answer has begun: engines let go of the rest by themselves.
     streamed: bool,
     /// Whether an attempt may have come to an engine: before that nothing is held.
@@ -328,6 +330,7 @@
             attempts: Vec::new(),
             out: Rc::default(),
             answered: false,
+            wanted: Rc::new(Cell::new(true)),
             streamed: false,
             reached: false,
             broken_read: false,
@@ -355,6 +358,8 @@
         let abandoned = self.admission.borrow_mut().gone(&id, caller);
         let Some(open) = self.open.get_mut(&id).filter(|open| abandoned && !open.answered) else { return };
         open.answered = true;
+        // Also where attempts may not be called off: one that has not been written is not begun.
+        open.wanted.set(false);
         self.book.abandoned();
         self.touched.push(id.clone());
         self.route.tell(Event::Abandoned { id });
@@ -534,7 +539,7 @@
                 id: id.clone(),
                 job: open.job.clone(),
                 patience: self.clock.until(open.expires),
-                gate: Gate { roster: self.roster.clone(), server },
+                gate: Gate { roster: self.roster.clone(), server, wanted: open.wanted.clone() },
             };
             send::start(&self.engines, call, attempt, &self.sender)
         });
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 /// How far an attempt had come when it was lost. Only the first three prove that it never ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
-    /// Not sent, and the engine was not tried: its drain was told in the meantime.
+    /// Not sent, and the engine was not tried: its drain was told in the meantime, or the client has gone.
     Withdrawn,
     /// No connection came up.
     Unconnected,
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,7 +1,7 @@
 //! Revisioned changes of settings and roster, and what the core holds of the latter.
 
 use crate::interface::{Condition, Entry, RosterForm, ServerId, Settings};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
 use std::rc::Rc;
@@ -147,17 +147,22 @@
     }
 }
 
-/// Tells whether an engine still takes new work, by the newest that was told.
+/// Tells whether a request may still be sent to an engine, by the newest that was told of both.
 #[derive(Clone, Debug)]
 pub struct Gate {
     pub(super) roster: Rc<Roster>,
     pub(super) server: ServerId,
+    /// Whether somebody still waits for the request's answer.
+    pub(super) wanted: Rc<Cell<bool>>,
 }
 
 impl Gate {
-    /// Whether a send may begin now.
-    pub fn is_open(&self) -> bool {
-        self.roster.is_ready(self.server)
+    /// Why a send may not begin now.
+    pub fn closed(&self) -> Option<&'static str> {
+        if !self.wanted.get() {
+            return Some("its client has gone");
+        }
+        (!self.roster.is_ready(self.server)).then_some("told to drain while connecting")
     }
 }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -3,15 +3,19 @@
 
 use super::heads::{Framing, Heads};
 use super::transport::{self, is_stale};
+use crate::gateway::{AttemptError, Progress};
+use bytes::BytesMut;
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Sleep;
@@ -43,10 +47,39 @@
 /// How long what was handed on may take to be written out before a break ends the connection.
 const WRITE_OUT: Duration = Duration::from_millis(20);
 
+/// Bytes that are read at a time while a client waits for its answer.
+const READ_AHEAD: usize = 2 << 10;
+/// How often the poller is asked whether a client has gone that sends more than is read ahead.
+const ASK_EVERY: Duration = Duration::from_millis(50);
+
+/// The client has closed its connection, or its sending on it, or reset it: no answer is owed any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ClientGone;
+
+impl fmt::Display for ClientGone {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the client has gone")
+    }
+}
+
+impl std::error::Error for ClientGone {}
+
+impl From<ClientGone> for AttemptError {
+    fn from(gone: ClientGone) -> Self {
+        Self::new(Progress::Written, gone)
+    }
+}
+
 /// One connection.
 pub(super) struct Standing {
     pub(super) stream: Rc<TcpStream>,
     heads: RefCell<Heads>,
+    /// What has come behind the request that is being answered, for the parser to read after it.
+    ahead: RefCell<BytesMut>,
+    /// Most bytes of that.
+    ahead_most: usize,
+    /// Whether the client's sending has come to its end.
+    ended: Cell<bool>,
     /// Requests that are being answered.
     answering: Cell<usize>,
     /// Whether one was.
@@ -63,11 +96,14 @@
 }
 
 impl Standing {
-    fn new(stream: Rc<TcpStream>) -> Self {
+    fn new(stream: Rc<TcpStream>, ahead_most: usize) -> Self {
         let now = Instant::now();
         Self {
             stream,
             heads: RefCell::default(),
+            ahead: RefCell::default(),
+            ahead_most,
+            ended: Cell::new(false),
             answering: Cell::new(0),
             used: Cell::new(false),
             quiet_since: Cell::new(now),
@@ -106,7 +142,39 @@
 
     /// Whether something has come that was not read yet, or the other side has closed.
     pub(super) fn has_news(&self) -> bool {
-        is_stale(&self.stream)
+        self.ended.get() || !self.ahead.borrow().is_empty() || is_stale(&self.stream)
+    }
+
+    /// Waits until the client has gone. The parser reads nothing more while a request is being answered and
+    /// something waits behind it, so what comes is read here, and kept for the parser.
+    pub(super) async fn client_gone(&self) -> ClientGone {
+        while !self.ended.get() {
+            if self.ahead.borrow().len() < self.ahead_most {
+                poll_fn(|context| self.poll_ahead(context)).await;
+            } else {
+                // The end stands behind what is not read: only the poller tells of it.
+                let ready = self.stream.ready(Interest::READABLE).await;
+                self.ended.set(ready.is_ok_and(|ready| ready.is_read_closed()));
+                if !self.ended.get() {
+                    tokio::time::sleep(ASK_EVERY).await;
+                }
+            }
+        }
+        ClientGone
+    }
+
+    /// Reads on ahead of the parser; ready once something has come, or the end.
+    fn poll_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; READ_AHEAD];
+        let mut buffer = ReadBuf::new(&mut bytes);
+        let read = ready!(transport::poll_read(&self.stream, context, &mut buffer));
+        if read.is_err() || buffer.filled().is_empty() {
+            self.ended.set(true);
+        } else {
+            self.came(buffer.filled());
+            self.ahead.borrow_mut().extend_from_slice(buffer.filled());
+        }
+        Poll::Ready(())
     }
 
     /// It closes by itself from now on, and makes room for nothing more.
@@ -183,18 +251,21 @@
     body: B,
     /// A break that is still to be told, and when.
     broken: Option<(B::Error, Pin<Box<Sleep>>)>,
+    gone: Pin<Box<dyn Future<Output = ClientGone>>>,
     _answering: Answering,
 }
 
 impl<B: Body> Marked<B> {
     pub(super) fn new(body: B, answering: Answering) -> Self {
-        Self { body, broken: None, _answering: answering }
+        let standing = answering.0.clone();
+        let gone = Box::pin(async move { standing.client_gone().await });
+        Self { body, broken: None, gone, _answering: answering }
     }
 }
 
 impl<B: Body + Unpin> Body for Marked<B>
 where
-    B::Error: Unpin,
+    B::Error: Unpin + From<ClientGone>,
 {
     type Data = B::Data;
     type Error = B::Error;
@@ -206,6 +277,10 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         let marked = self.get_mut();
+        // Nobody reads the answer any more. One whose end is at hand may still be written.
+        if !marked.body.is_end_stream() && marked.gone.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Some(Err(ClientGone.into())));
+        }
         if marked.broken.is_none() {
             match ready!(Pin::new(&mut marked.body).poll_frame(context)) {
                 Some(Err(error)) => {
@@ -238,6 +313,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let here = ahead.len().min(buffer.remaining());
+            buffer.put_slice(&ahead.split_to(here));
+            return Poll::Ready(Ok(()));
+        }
+        if self.0.ended.get() {
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         let read = transport::poll_read(&self.0.stream, context, buffer);
         if buffer.filled().len() > before {
@@ -311,7 +395,7 @@
         if self.open() >= most {
             return Place::None;
         }
-        let (number, standing) = (self.next.get(), Rc::new(Standing::new(Rc::new(stream))));
+        let (number, standing) = (self.next.get(), Rc::new(Standing::new(Rc::new(stream), self.limits.buffer)));
         self.next.set(number + 1);
         self.all.borrow_mut().insert(number, standing.clone());
         let seat = Seat { clients: self.clone(), number, standing };
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -153,9 +153,9 @@
         async move {
             let request = call_request(&call)?;
             let mut channel = pool.take(&call.endpoint).await?;
-            if !call.gate.is_open() {
+            if let Some(cause) = call.gate.closed() {
                 pool.put(call.endpoint, channel);
-                return Err(AttemptError::new(Progress::Withdrawn, "told to drain while connecting"));
+                return Err(AttemptError::new(Progress::Withdrawn, cause));
             }
             let answer = channel.send(request, call.job.body.len(), Some(tries)).await?;
             let (head, body) = answer.into_parts();
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -12,7 +12,6 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -163,17 +162,23 @@
     let service = service_fn(|request| {
         let (front, framing) = (front.clone(), standing.next_framing());
         let answering = Answering::new(standing.clone());
+        let standing = standing.clone();
         async move {
             let mut response = match framing {
                 _ if over => front.too_many(&request),
                 Framing::Both => front.contradicting(),
-                Framing::Length | Framing::Chunks => front.handle(request).await,
+                // Looked at first each time: nothing is begun for a client that has gone.
+                Framing::Length | Framing::Chunks => tokio::select! {
+                    biased;
+                    gone = standing.client_gone() => return Err(gone),
+                    response = front.handle(request) => response,
+                },
             };
             if framing != Framing::Length {
                 // Where its body ends is not known here: nothing behind it is taken for a request.
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response.map(|body| Marked::new(body, answering)))
+            Ok(response.map(|body| Marked::new(body, answering)))
         }
     });
     let mut ending = *phase.borrow() == Phase::Away;
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -57,7 +57,7 @@
             if !fake.connects.get() {
                 fake.connected.notified().await;
             }
-            if !call.gate.is_open() {
+            if call.gate.closed().is_some() {
                 return Err(AttemptError::new(Progress::Withdrawn, "drains"));
             }
             fake.written.borrow_mut().push(call.endpoint.to_string());
@@ -97,9 +97,15 @@
 }
 
 fn started(fake: &Fake) -> Gateway<Fake> {
+    started_where(fake, true)
+}
+
+/// A gateway that may call attempts off, or not.
+fn started_where(fake: &Fake, may_cancel: bool) -> Gateway<Fake> {
     let settings = Settings {
         roles: vec![Role::Read, Role::Write],
         classes: vec![Class::default()],
+        may_cancel,
         ..Settings::default()
     };
     let (gateway, _) = start("test", settings, 1, fake.clone(), Tuning::default()).expect("lawful");
@@ -151,6 +157,26 @@
     .await;
 }
 
+// Where attempts may not be called off one that was still connecting was written for a client that had gone.
+#[rstest::rstest]
+#[tokio::test]
+async fn send_still_connecting_when_its_client_goes_is_not_written(#[values(true, false)] may_cancel: bool) {
+    local(async {
+        let fake = Fake::default();
+        let gateway = started_where(&fake, may_cancel);
+        let ticket = gateway.submit(submission("a")).expect("taken");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert_eq!(fake.called.borrow().len(), 1);
+        drop(ticket);
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        fake.connects.set(true);
+        fake.connected.notify_waiters();
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        assert!(fake.written.borrow().is_empty() && gateway.open() == 0);
+    })
+    .await;
+}
+
 // A zone was cut off just after a read there: its engines were asked one after the other to let the state go,
 // and it stayed held for longer than the rule allows.
 #[tokio::test(start_paused = true)]
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -490,3 +490,25 @@
     }
     assert!((1..=8).contains(&called_off), "{called_off} of 30 that all waited");
 }
+
+// A client that has gone is not served, wherever its request stands: nothing is sent after it.
+#[rstest::rstest]
+#[case::queued(&[11], |_: &mut Harness| {})]
+#[case::reading(&[1, 2, 11], |_: &mut Harness| {})]
+#[case::between_attempts(&[1, 11], |h: &mut Harness| { h.ended("a", 0, Status::Reset); })]
+#[case::read_with_no_writer_free(&[1], |h: &mut Harness| { h.read("a", 0); })]
+#[case::writing(&[1, 2, 11, 12], |h: &mut Harness| { h.read("a", 0); })]
+fn nothing_is_sent_for_a_client_that_has_gone(#[case] servers: &[u32], #[case] before: fn(&mut Harness)) {
+    let mut h = Harness::new(settings(), servers);
+    h.ask(arrival("a"));
+    before(&mut h);
+    let mut actions = h.handle(&[Event::Abandoned { id: id("a") }]);
+    for attempt in 0..3 {
+        actions.extend(h.ended("a", attempt, Status::Read));
+    }
+    h.roster([1, 2, 3, 11, 12, 13].map(entry).to_vec());
+    for _ in 0..20 {
+        actions.extend(h.wait(100_000));
+    }
+    assert_eq!(all_sends(&actions), []);
+}
