--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -395,7 +395,8 @@
         if self.open() >= most {
             return Place::None;
         }
-        let (number, standing) = (self.next.get(), Rc::new(Standing::new(Rc::new(stream), self.limits.buffer)));
+        let (number, standing) =
+            (self.next.get(), Rc::new(Standing::new(Rc::new(stream), self.limits.buffer)));
         self.next.set(number + 1);
         self.all.borrow_mut().insert(number, standing.clone());
         let seat = Seat { clients: self.clone(), number, standing };
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -32,7 +32,9 @@
     let mut stream = TcpStream::connect(daemon.address).await.expect("the daemon listens");
     let request = |id: &str| {
         let length = body.len();
-        format!("POST {path} HTTP/1.1\r\nHost: h\r\nReq-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: h\r\nReq-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+        )
     };
     stream.write_all(request("a1").as_bytes()).await.expect("written");
     tokio::time::sleep(Duration::from_millis(150)).await;
