Ask discovery again within 4.8 s of a failed call's beginning, its dial and a half answer included

Whatever failed, a change counts as told 6 s after discovery had it and could be reached.

What the program did: at a shared service pauses grew to 16 s (24 s by lot) for 100 gateways and more (backoff.rs, LONGEST_EACH); the first call of a watch waited 3 s for news and was given 5 s, on top of a dial of 2 s that stood outside of it, and a pause followed (discovery.rs, ask and run); a gateway that knew a list first asked within 8 s.

Change: a call that opens a watch waits 1 s for news and has 4 s in all, its dial among them (2 s at an agent); the next begins by lot within 4.8 s of that call's beginning, however it failed; first calls spread over 4.5 s at most. Patience is as long as it can be: whoever is given up while it waits in turn stands at the end of the queue again.

The paths of first calls are asserted with their new wait. Those on sockets fail without the change where half an answer came to the first call.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -20,6 +20,8 @@
 /// How long a watch may wait for news. With the grace it is a second less than the 6 s after which, by the
 /// protocol, what a silent watch misses counts as told: the next one has to be open and answered by then.
 const WAIT: Duration = Duration::from_secs(3);
+/// How long the call that opens a watch may wait for news.
+const FIRST_WAIT: Duration = Duration::from_secs(1);
 /// How long a new address may be behind what was told before. By the protocol all that there is to tell has
 /// been told by then: a lower revision is another history, and its list counts.
 const BEHIND: Duration = Duration::from_secs(6);
@@ -41,18 +43,23 @@
         Self { address, pool: Pool::new(limits), channel: None, revision: None, backoff }
     }
 
-    async fn ask(&mut self) -> Result<List, AttemptError> {
-        let (path, wait) = match self.revision {
-            None => ("/v1/endpoints".to_owned(), GRACE),
-            Some(rev) => (format!("/v1/endpoints?index={rev}&wait={}", WAIT.as_millis()), WAIT + GRACE),
+    /// Asks for what is new, or for all. A watch that is open is renewed; else it is opened, with less patience and
+    /// a shorter wait for news: nothing shows yet that anybody listens there.
+    async fn ask(&mut self, open: bool) -> Result<List, AttemptError> {
+        let (wait, patience) =
+            if open { (WAIT, WAIT + GRACE) } else { (FIRST_WAIT, self.backoff.patience()) };
+        let path = match self.revision {
+            None => "/v1/endpoints".to_owned(),
+            Some(rev) => format!("/v1/endpoints?index={rev}&wait={}", wait.as_millis()),
         };
         let request = Request::get(path).header(HOST, &*self.address).body(Full::new(Bytes::new()));
         let request = request.map_err(|e| AttemptError::new(Progress::Unconnected, e))?;
-        let mut channel = match self.channel.take() {
-            Some(channel) => channel,
-            None => self.pool.take(&self.address).await?,
-        };
+        let kept = self.channel.take();
         let call = async {
+            let mut channel = match kept {
+                Some(channel) => channel,
+                None => self.pool.take(&self.address).await?,
+            };
             let answer = channel.send(request, 0, None).await?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), LIST_BYTES).collect().await;
@@ -60,10 +67,12 @@
             if !status.is_success() {
                 return Err(AttemptError::new(Progress::Written, format!("status {status}")));
             }
-            serde_json::from_slice(&body).map_err(|e| AttemptError::new(Progress::Written, e))
+            let list = serde_json::from_slice(&body).map_err(|e| AttemptError::new(Progress::Written, e))?;
+            Ok((list, channel))
         };
         let late = |_| Err(AttemptError::new(Progress::TimedOut, "silent"));
-        let list = tokio::time::timeout(wait, call).await.unwrap_or_else(late)?;
+        // The dial is part of the call: one that does not come up is as silent as an answer that does not.
+        let (list, channel) = tokio::time::timeout(patience, call).await.unwrap_or_else(late)?;
         self.channel = Some(channel);
         Ok(list)
     }
@@ -74,12 +83,13 @@
         tokio::time::sleep(self.backoff.begin(opening)).await;
         let mut open = false;
         loop {
-            match self.ask().await {
+            let began = Instant::now();
+            match self.ask(open).await {
                 Ok(list) if !list.all && self.revision.is_some_and(|known| list.rev < known) => {
                     // Its changes apply to another list than the one that is known.
                     log::warn!("discovery at={} steps back rev={}: asked for all", self.address, list.rev);
                     self.revision = None;
-                    tokio::time::sleep(self.backoff.failed().0).await;
+                    tokio::time::sleep(self.backoff.failed(began.elapsed()).0).await;
                 }
                 Ok(list) => {
                     // The first answer tells, also where it is empty, that this address can be followed.
@@ -95,7 +105,7 @@
                     }
                 }
                 Err(error) => {
-                    let (pause, first) = self.backoff.failed();
+                    let (pause, first) = self.backoff.failed(began.elapsed());
                     // A watch that fell silent is broken, and the service may be well: what it misses counts as
                     // told soon. Gateways notice it at moments of their own.
                     let silent = std::mem::take(&mut open) && error.progress == Progress::TimedOut;
