--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -216,8 +216,9 @@
         log::debug!("connection ended {error}");
     }
     standing.leave();
-    // One that lingered in the place that another is to have would have that one closed without a word.
-    if standing.in_request() && !standing.is_awaited() {
+    // Closed over bytes that were not read the connection would be reset, and what was written last go with it. One
+    // that lingered in the place that another is to have would have that one closed without a word.
+    if (standing.in_request() || standing.has_news()) && !standing.is_awaited() {
         linger(&standing.stream, limits.buffer).await;
     }
 }
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -155,3 +155,86 @@
     })
     .await;
 }
+
+// Idle clients may take every place there is for them, discovery being down: engines, operators and discovery have
+// places of their own, and who comes later gets an answer or a close.
+#[tokio::test]
+async fn idle_clients_that_take_every_place_keep_nobody_waiting_while_discovery_is_down() {
+    use std::time::{Duration, Instant};
+    local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        let discovery = Discovery::start(&[&reader, &writer]).await;
+        let limits = json!({"memory_mb": 32, "sockets": 128});
+        let daemon = Daemon::within(limits, &discovery, None).await;
+        discovery.set_down(true);
+        let mut idle = Vec::new();
+        for n in 0..120 {
+            let mut stream = connect(daemon.address).await;
+            if n % 3 == 0 {
+                stream.write_all(&HEAD.as_bytes()[..40]).await.expect("written");
+            }
+            idle.push(stream);
+        }
+        for n in 0..6 {
+            let start = Instant::now();
+            let mut late = connect(daemon.address).await;
+            // One that finds no place is closed, perhaps before it has said anything.
+            let _ = late.write_all(request(&format!("late{n}")).as_bytes()).await;
+            let mut first = [0; 12];
+            let read = tokio::time::timeout(Duration::from_secs(4), late.read(&mut first)).await;
+            assert!(read.is_ok(), "neither an answer nor a close after {:?}", start.elapsed());
+        }
+        let figures = ask(daemon.management, "GET", "/ops/stats", &[], "").await;
+        assert_eq!(figures.status, 200);
+        // An idle one that is closed makes room at the latest.
+        let served = async || {
+            let mut stream = connect(daemon.address).await;
+            let _ = stream.write_all(request(&format!("b{}", reader.count("/"))).as_bytes()).await;
+            rest_of_head(stream).await.starts_with("HTTP/1.1 200")
+        };
+        until("an engine is reached", served).await;
+        discovery.set_down(false);
+        let back = Instant::now();
+        let version = discovery.set(&reader, "DRAINING");
+        until("told of the drain", async || discovery.has_told(version)).await;
+        assert!(back.elapsed() < Duration::from_secs(6), "{:?}", back.elapsed());
+        drop(idle);
+    })
+    .await;
+}
+
+/// The first bytes that come on a connection, none if it is closed.
+async fn rest_of_head(mut stream: TcpStream) -> String {
+    let mut first = [0; 64];
+    let read = stream.read(&mut first).await.unwrap_or(0);
+    String::from_utf8_lossy(&first[..read]).into_owned()
+}
+
+// Closed over what its client had sent behind the request, a connection was reset, and an answer that was still on
+// its way went with it.
+#[tokio::test]
+async fn connection_that_is_closed_over_unread_bytes_is_not_reset() {
+    local(async {
+        let w = World::start().await;
+        w.reader.mode.set(Mode::Slow(700));
+        let mut stream = connect(w.daemon.address).await;
+        stream.write_all(request("a1").as_bytes()).await.expect("written");
+        until("sent", async || w.reader.count("/v1/") > 0).await;
+        w.daemon.stop.notify_one();
+        // More than is read ahead, which ends between two of them: the rest stands unread when the answer is given.
+        let plain = request("b1").len();
+        let padded =
+            request("b1").replace("\r\n\r\n", &format!("\r\nPad: {}\r\n\r\n", "x".repeat(1024 - plain - 7)));
+        assert_eq!(padded.len(), 1024);
+        let (mut read, mut write) = stream.into_split();
+        write.write_all(padded.repeat(400).as_bytes()).await.expect("taken by the system at least");
+        let mut bytes = Vec::new();
+        let end = read.read_to_end(&mut bytes).await;
+        let answer = String::from_utf8_lossy(&bytes);
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains(EVENTS[2].trim()), "{answer}");
+        assert!(end.is_ok(), "{end:?}");
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        assert!(write.write_all(b"x").await.is_ok(), "it was reset");
+    })
+    .await;
+}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -172,6 +172,8 @@
     /// What the last version changed, if it is to be told as a change.
     changed: Rc<RefCell<Vec<Value>>>,
     news: Rc<Notify>,
+    /// Whether it is down: it closes what is open and what comes.
+    down: Rc<Cell<bool>>,
     /// Versions as they were written to a watch, and when.
     written: Rc<RefCell<Vec<(u64, Instant)>>>,
 }
@@ -190,6 +192,7 @@
             list: Rc::new(RefCell::new((version, targets))),
             changed: Rc::default(),
             news: Rc::default(),
+            down: Rc::default(),
             written: Rc::default(),
         };
         let serving = discovery.clone();
@@ -240,12 +243,24 @@
         self.news.notify_waiters();
     }
 
+    /// Has it go down, or come back.
+    pub fn set_down(&self, down: bool) {
+        self.down.set(down);
+        self.news.notify_waiters();
+    }
+
     async fn connection(self, mut stream: TcpStream) {
         while let Some(request) = message(&mut stream).await {
+            if self.down.get() {
+                return;
+            }
             let index = request.path.split_once("index=").and_then(|(_, rest)| rest.split('&').next());
             let index: u64 = index.map_or(0, |i| i.parse().expect("a version"));
             while self.list.borrow().0 <= index {
                 self.news.notified().await;
+                if self.down.get() {
+                    return;
+                }
             }
             let (rev, targets) = self.list.borrow().clone();
             let changed = self.changed.borrow().clone();
@@ -342,9 +357,20 @@
 
     /// A daemon that listens, whether or not it has heard of any engine.
     pub async fn before_its_list(limits: Value, discovery: SocketAddr, inference: Option<Value>) -> Self {
+        Self::knowing(Value::Null, limits, discovery, inference).await
+    }
+
+    /// A daemon that held this list last.
+    pub async fn knowing(
+        known: Value,
+        limits: Value,
+        discovery: SocketAddr,
+        inference: Option<Value>,
+    ) -> Self {
         let class = |name: &str, effect: &str| json!({"name": name, "objectiveMs": 4000, "hardLimitMs": 20000, "effect": effect});
         let config = json!({
             "name": "n0", "listen": "", "discovery": discovery.to_string(), "seed": "5", "limits": limits,
+            "known": known,
             "settings": {
                 "zones": ["a"], "kinds": ["reader", "writer"],
                 "categories": [class("lookup", "safe"), class("correction", "unsafe")],
