Leave out a list's entry that cannot be read, and start without a known list that cannot

Two gaps: one entry that made no sense had the whole list given up, drains included (config/list.rs), and a known list that made no sense ended the program at its start (config/mod.rs). Both are left out with a line in the log.

--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -17,11 +17,20 @@
     /// Whether it is the whole list.
     #[serde(default)]
     pub all: bool,
-    /// The entries.
-    #[serde(default)]
+    /// The entries; one that cannot be read is left out, and takes none of the others with it.
+    #[serde(default, deserialize_with = "readable")]
     pub targets: Vec<Target>,
 }
 
+fn readable<'de, D: serde::Deserializer<'de>>(targets: D) -> Result<Vec<Target>, D::Error> {
+    let all = Vec::<serde_json::Value>::deserialize(targets)?;
+    let read = |target: serde_json::Value| {
+        let uid = target.get("uid").cloned().unwrap_or_default();
+        serde_json::from_value(target).map_err(|e| log::warn!("list entry left out uid={uid} {e}")).ok()
+    };
+    Ok(all.into_iter().filter_map(read).collect())
+}
+
 /// One engine, as discovery writes it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Target {
@@ -132,3 +141,30 @@
         Change { revision: self.rev, news }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    // One entry that made no sense had the whole list given up, and every drain in it unheard.
+    #[rstest]
+    #[case::no_uid(r#"{"endpoint":"e:2","state":"SERVING"}"#)]
+    #[case::no_endpoint(r#"{"uid":"s-2","state":"SERVING"}"#)]
+    #[case::uid_is_a_number(r#"{"uid":2,"endpoint":"e:2","state":"SERVING"}"#)]
+    #[case::state_is_missing(r#"{"uid":"s-2","endpoint":"e:2"}"#)]
+    #[case::group_below_zero(r#"{"uid":"s-2","endpoint":"e:2","state":"SERVING","pod_group":-1}"#)]
+    #[case::no_entry_at_all("[]")]
+    #[case::nothing("null")]
+    fn entry_that_cannot_be_read_takes_no_other_with_it(#[case] spoilt: &str) {
+        let good = r#"{"uid":"s-1","endpoint":"e:1","model":"k","state":"DRAINING"}"#;
+        let text = format!(r#"{{"rev":3,"all":true,"targets":[{spoilt},{good}]}}"#);
+        let list: List = serde_json::from_str(&text).expect("a list");
+        let names = Names { kinds: vec!["k".into()], ..Names::default() };
+        let News::Roster { engines, .. } = list.change(&names, &mut Numbers::default()).news else {
+            panic!("no roster");
+        };
+        let told: Vec<_> = engines.iter().map(|e| (&*e.name, e.entry.condition)).collect();
+        assert_eq!(told, [("s-1", Condition::Draining)]);
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -47,7 +47,7 @@
     #[serde(default)]
     limits: Resources,
     #[serde(default)]
-    known: Option<List>,
+    known: Option<serde_json::Value>,
     settings: Told,
 }
 
@@ -244,11 +244,16 @@
             told_after: Duration::from_micros(span(told.rules.ask_within_ms, 10_000_000)),
             management: file.management,
             resources: file.limits,
-            known: file.known,
+            known: file.known.and_then(known),
         })
     }
 }
 
+/// The list as it was held last. Without one that can be read there is discovery's: no reason not to start.
+fn known(list: serde_json::Value) -> Option<List> {
+    serde_json::from_value(list).map_err(|e| log::warn!("known list left out: {e}")).ok()
+}
+
 fn settings(told: &Told) -> Result<Settings, ConfigError> {
     let plain = Settings::default();
     let extra = &told.extra;
@@ -345,6 +350,19 @@
         assert_eq!(entry.condition, crate::interface::Condition::Draining);
     }
 
+    // What the gateway held last may be spoilt: that would have kept it from starting, with discovery at hand.
+    #[rstest]
+    #[case::not_a_list("7")]
+    #[case::without_a_version(r#"{"targets":[]}"#)]
+    #[case::nothing("null")]
+    fn known_list_that_cannot_be_read_is_left_out(#[case] known: &str) {
+        let (before, rest) = FILE.split_once(r#""known":"#).expect("it has one");
+        let (_, after) = rest.split_once("]},").expect("it ends");
+        let config =
+            Config::decode(format!(r#"{before}"known":{known},{after}"#).as_bytes()).expect("lawful");
+        assert!(config.known.is_none());
+    }
+
     // What the module would misread is refused at the start.
     #[rstest]
     #[case("unsafe", "harmless")]
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -191,3 +191,69 @@
     })
     .await;
 }
+
+/// How a discovery fails at which a daemon starts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fails {
+    Down,
+    Silent,
+    Slow,
+    Spoilt,
+}
+
+/// A discovery that fails so, or is just slow to give its list.
+async fn failing(how: Fails, list: serde_json::Value) -> std::net::SocketAddr {
+    if how == Fails::Down {
+        return closed_port().await;
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let body = if how == Fails::Spoilt { "{\"rev\":\u{1}".to_owned() } else { list.to_string() };
+            spawn_local(async move {
+                while message(&mut stream).await.is_some() {
+                    match how {
+                        Fails::Silent => std::future::pending().await,
+                        Fails::Slow => tokio::time::sleep(Duration::from_millis(1_500)).await,
+                        _ => {}
+                    }
+                    let head = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n", body.len());
+                    // Whoever asked may have given up.
+                    let _ = stream.write_all((head + &body).as_bytes()).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+// A process that starts again serves from the list it held last, whatever discovery does; without one it is ready
+// as soon as discovery gives its own.
+#[rstest]
+#[tokio::test]
+async fn daemon_that_starts_again_is_ready_whatever_discovery_does(
+    #[values(Fails::Down, Fails::Silent, Fails::Slow, Fails::Spoilt)] how: Fails,
+    #[values(true, false)] knows: bool,
+) {
+    local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        let targets = [&reader, &writer].map(|engine| engine.target("SERVING"));
+        let list = serde_json::json!({"rev": 4, "all": true, "targets": targets});
+        let discovery = failing(how, list.clone()).await;
+        let known = if knows { list } else { serde_json::json!({"rev": "spoilt"}) };
+        let started = Instant::now();
+        let daemon = Daemon::knowing(known, serde_json::json!({}), discovery, None).await;
+        if knows || how == Fails::Slow {
+            until("ready", async || daemon.is_ready().await).await;
+            let most = if knows { 1_000 } else { 4_000 };
+            assert!(started.elapsed() < Duration::from_millis(most), "{:?}", started.elapsed());
+            assert_eq!(chat(daemon.address, "a1", "lookup", 9000).await.status, 200);
+        } else {
+            // Nobody has told it of any engine: it says so, and a request gets its answer all the same.
+            assert!(!daemon.is_ready().await);
+            assert!(matches!(chat(daemon.address, "a1", "lookup", 500).await.status, 429 | 504));
+        }
+    })
+    .await;
+}
