--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -238,3 +238,50 @@
     })
     .await;
 }
+
+// A request may cross the close of the connection on which it comes. It is served whole, or its client sees a close
+// with no answer and sends it again: then no engine may have been given it.
+#[tokio::test]
+async fn request_that_crosses_the_close_of_a_stopping_gateway_is_served_or_untouched() {
+    use std::time::Duration;
+    local(async {
+        let w = World::within(json!({})).await;
+        let mut resting = Vec::new();
+        for n in 0..60u64 {
+            let mut stream = connect(w.daemon.address).await;
+            stream.write_all(request(&format!("a{n}")).as_bytes()).await.expect("written");
+            let mut answer = Vec::new();
+            while !answer.ends_with(b"0\r\n\r\n") {
+                answer.push(stream.read_u8().await.expect("answered"));
+            }
+            resting.push(stream);
+        }
+        w.daemon.stop.notify_one();
+        // The connections close 0.6 s after the order.
+        let crossing = resting.into_iter().zip(0..).map(|(mut stream, n)| {
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(Duration::from_millis(570 + n)).await;
+                let written = stream.write_all(request(&format!("b{n}")).as_bytes()).await.is_ok();
+                (n, written, rest(stream).await)
+            })
+        });
+        let (mut served, mut closed) = (0, 0);
+        for crossed in crossing.collect::<Vec<_>>() {
+            let (n, written, answer) = crossed.await.expect("it ends");
+            let read =
+                w.reader.seen.borrow().iter().any(|s| s.headers.get("req-id") == Some(&format!("b{n}")));
+            if answer.is_empty() {
+                assert!(!read, "b{n} was sent on and not answered");
+                closed += 1;
+            } else {
+                assert!(
+                    written && answer.starts_with("HTTP/1.1 200") && answer.ends_with("0\r\n\r\n"),
+                    "{answer}"
+                );
+                served += 1;
+            }
+        }
+        assert_eq!(served + closed, 60);
+    })
+    .await;
+}
