--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,7 +23,7 @@
 const PROBES: usize = 2; // writers that are probed for a request that waits for one
 const PROBE_WAIT: Micros = 50_000; // how long a probe is waited for
 const PROBE_PAUSE: Micros = 1_000_000; // least time between two probes of one server
-const OVERDUE: f64 = 8.0; // an attempt is overdue when older than so many times what was expected
+const OVERDUE: [f64; 2] = [4.0, 8.0]; // times what was expected at which an answer, or a read, is overdue
 const OVERDUE_FLOOR_S: f64 = 0.5; // and than this
 const CALLED_OFF_PART: f64 = 0.1; // reads called off as overdue for each read and answer that ended well
 const REFUSED_MOST: u32 = 3; // dials refused in a row that tell of a zone as one unheard: a table may be full
@@ -448,7 +448,7 @@
             if reading { self.called_off < 1.0 } else { self.class(&request.ask).effect == Effect::Safe };
         let left = request.attempts.len() + usize::from(reading) < self.settings.max_attempts as usize;
         let wait_s = self.wait_s(server) * f64::from(u8::from(reading));
-        let late = OVERDUE_FLOOR_S.max(OVERDUE * (attempt.expected_s + wait_s));
+        let late = OVERDUE_FLOOR_S.max(OVERDUE[usize::from(reading)] * (attempt.expected_s + wait_s));
         let may = attempt.out && !attempt.cancelled && harmless && self.settings.may_cancel;
         let overdue = seconds(self.now - attempt.sent) >= late && left;
         let silent = self.is_silent(server);
@@ -671,7 +671,8 @@
         let mut open: Vec<_> = self.listed(reading).collect();
         let well = |(id, s): &(ServerId, &Server)| {
             let out = self.out(*id);
-            let silent = out.oldest_s > OVERDUE_FLOOR_S && out.oldest_ratio > OVERDUE && self.is_silent(*id);
+            let silent =
+                out.oldest_s > OVERDUE_FLOOR_S && out.oldest_ratio > OVERDUE[1] && self.is_silent(*id);
             let trial = s.bar.fails > 0 && out.attempts > 0;
             self.now >= s.bar.until && !silent && !trial && s.error_share(self.now) < ERROR_MOST
         };
