--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,7 +24,7 @@
 const PROBE_WAIT: Micros = 50_000; // how long a probe is waited for
 const PROBE_PAUSE: Micros = 1_000_000; // least time between two probes of one server
 const OVERDUE: [f64; 2] = [4.0, 8.0]; // times what was expected at which an answer, or a read, is overdue
-const OVERDUE_FLOOR_S: f64 = 0.5; // and than this
+const OVERDUE_S: f64 = 0.5; // and than this
 const CALLED_OFF_PART: f64 = 0.1; // reads called off as overdue for each read and answer that ended well
 const REFUSED_MOST: u32 = 3; // dials refused in a row that tell of a zone as one unheard: a table may be full
 const UNHEARD_S: f64 = 0.1; // after which a dial was unheard, not refused: a no takes a few round trips
@@ -448,7 +448,7 @@
             if reading { self.called_off < 1.0 } else { self.class(&request.ask).effect == Effect::Safe };
         let left = request.attempts.len() + usize::from(reading) < self.settings.max_attempts as usize;
         let wait_s = self.wait_s(server) * f64::from(u8::from(reading));
-        let late = OVERDUE_FLOOR_S.max(OVERDUE[usize::from(reading)] * (attempt.expected_s + wait_s));
+        let late = OVERDUE_S.max(OVERDUE[usize::from(reading)] * (attempt.expected_s + wait_s));
         let may = attempt.out && !attempt.cancelled && harmless && self.settings.may_cancel;
         let overdue = seconds(self.now - attempt.sent) >= late && left;
         let silent = self.is_silent(server);
@@ -626,7 +626,7 @@
 
     /// Whether nothing good has come from a server for a while; what waits longer may just be queued there.
     fn is_silent(&self, id: ServerId) -> bool {
-        self.servers.get(&id).is_none_or(|s| seconds(self.now - s.heard) > OVERDUE_FLOOR_S)
+        self.servers.get(&id).is_none_or(|s| seconds(self.now - s.heard) > OVERDUE_S)
     }
 
     fn out(&self, id: ServerId) -> Out {
@@ -671,8 +671,7 @@
         let mut open: Vec<_> = self.listed(reading).collect();
         let well = |(id, s): &(ServerId, &Server)| {
             let out = self.out(*id);
-            let silent =
-                out.oldest_s > OVERDUE_FLOOR_S && out.oldest_ratio > OVERDUE[1] && self.is_silent(*id);
+            let silent = out.oldest_s > OVERDUE_S && out.oldest_ratio > OVERDUE[1] && self.is_silent(*id);
             let trial = s.bar.fails > 0 && out.attempts > 0;
             self.now >= s.bar.until && !silent && !trial && s.error_share(self.now) < ERROR_MOST
         };
