--- a/src/config/bounds.rs
+++ b/src/config/bounds.rs
@@ -43,6 +43,8 @@
     pub engine_connections: usize,
     /// Bytes that may be buffered for one connection, a head among them.
     pub buffer: usize,
+    /// Bytes that are read on clients' connections ahead of the parser.
+    pub ahead_bytes: usize,
     /// Requests open at a time, in one driver.
     pub requests: usize,
     /// Bytes of the bodies that are being read.
@@ -68,6 +70,7 @@
             management: MANAGEMENT,
             engine_connections,
             buffer: (bytes / 4 / sockets).clamp(BUFFER.0, BUFFER.1),
+            ahead_bytes: bytes / 64,
             requests: client_connections,
             reading_bytes: (bytes / 6).max(BODY_BYTES),
             open_bytes: (bytes / 4).max(BODY_BYTES),
@@ -92,7 +95,7 @@
         let b = Bounds::from(Resources { memory_mb, sockets });
         assert!(b.client_connections + b.client_spare + b.engine_connections + OWN_SOCKETS <= sockets);
         assert!(b.client_connections > sockets / 3 && b.engine_connections > sockets / 3);
-        let bytes = b.reading_bytes + b.open_bytes + b.model_bytes + b.answer_bytes;
+        let bytes = b.reading_bytes + b.open_bytes + b.model_bytes + b.answer_bytes + b.ahead_bytes;
         let buffers = b.buffer * (b.client_connections + b.client_spare + b.engine_connections);
         assert!(bytes + buffers <= ((memory_mb - OWN_MB) as usize) << 20);
         assert!(b.reading_bytes >= 4 * BODY_BYTES, "a few of the longest bodies at a time");
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -29,6 +29,8 @@
     pub spare: usize,
     /// Most bytes of a head, and of what is buffered for a connection.
     pub buffer: usize,
+    /// Most bytes that are read ahead of the parser, on all connections together.
+    pub ahead: usize,
     /// How long a connection may stand quiet before its first request or within one.
     pub stall: Duration,
     /// How long a head may take to come in.
@@ -76,8 +78,8 @@
     heads: RefCell<Heads>,
     /// What has come behind the request that is being answered, for the parser to read after it.
     ahead: RefCell<BytesMut>,
-    /// Most bytes of that.
-    ahead_most: usize,
+    /// Room that is left for that on all connections.
+    ahead_room: Rc<Cell<usize>>,
     /// Whether the client's sending has come to its end.
     ended: Cell<bool>,
     /// Requests that are being answered.
@@ -96,13 +98,13 @@
 }
 
 impl Standing {
-    fn new(stream: Rc<TcpStream>, ahead_most: usize) -> Self {
+    fn new(stream: Rc<TcpStream>, ahead_room: Rc<Cell<usize>>) -> Self {
         let now = Instant::now();
         Self {
             stream,
             heads: RefCell::default(),
             ahead: RefCell::default(),
-            ahead_most,
+            ahead_room,
             ended: Cell::new(false),
             answering: Cell::new(0),
             used: Cell::new(false),
@@ -149,7 +151,7 @@
     /// something waits behind it, so what comes is read here, and kept for the parser.
     pub(super) async fn client_gone(&self) -> ClientGone {
         while !self.ended.get() {
-            if self.ahead.borrow().len() < self.ahead_most {
+            if self.ahead_room.get() >= READ_AHEAD {
                 poll_fn(|context| self.poll_ahead(context)).await;
             } else {
                 // The end stands behind what is not read: only the poller tells of it.
@@ -172,6 +174,7 @@
             self.ended.set(true);
         } else {
             self.came(buffer.filled());
+            self.ahead_room.set(self.ahead_room.get().saturating_sub(buffer.filled().len()));
             self.ahead.borrow_mut().extend_from_slice(buffer.filled());
         }
         Poll::Ready(())
@@ -228,6 +231,12 @@
     }
 }
 
+impl Drop for Standing {
+    fn drop(&mut self) {
+        self.ahead_room.set(self.ahead_room.get() + self.ahead.borrow().len());
+    }
+}
+
 /// A request that is being answered on a connection.
 pub(super) struct Answering(Rc<Standing>);
 
@@ -317,6 +326,7 @@
         if !ahead.is_empty() {
             let here = ahead.len().min(buffer.remaining());
             buffer.put_slice(&ahead.split_to(here));
+            self.0.ahead_room.set(self.0.ahead_room.get() + here);
             return Poll::Ready(Ok(()));
         }
         if self.0.ended.get() {
@@ -349,6 +359,7 @@
 pub(super) struct Clients {
     limits: ServeLimits,
     all: RefCell<BTreeMap<u64, Rc<Standing>>>,
+    ahead_room: Rc<Cell<usize>>,
     next: Cell<u64>,
 }
 
@@ -377,7 +388,8 @@
 
 impl Clients {
     pub(super) fn new(limits: ServeLimits) -> Rc<Self> {
-        Rc::new(Self { limits, all: RefCell::default(), next: Cell::new(0) })
+        let ahead_room = Rc::new(Cell::new(limits.ahead));
+        Rc::new(Self { limits, all: RefCell::default(), ahead_room, next: Cell::new(0) })
     }
 
     pub(super) fn open(&self) -> usize {
@@ -396,7 +408,7 @@
             return Place::None;
         }
         let (number, standing) =
-            (self.next.get(), Rc::new(Standing::new(Rc::new(stream), self.limits.buffer)));
+            (self.next.get(), Rc::new(Standing::new(Rc::new(stream), self.ahead_room.clone())));
         self.next.set(number + 1);
         self.all.borrow_mut().insert(number, standing.clone());
         let seat = Seat { clients: self.clone(), number, standing };
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -17,7 +17,7 @@
     Resets,
     /// Sends one more request behind the one that is being answered, then closes.
     PipelinesAndCloses,
-    /// Sends more of them than are kept.
+    /// Sends more of them than are read ahead.
     FloodsAndCloses,
 }
 
@@ -40,7 +40,7 @@
     tokio::time::sleep(Duration::from_millis(150)).await;
     let more = match going {
         Going::PipelinesAndCloses => 1,
-        Going::FloodsAndCloses => 300,
+        Going::FloodsAndCloses => 1_500,
         _ => 0,
     };
     for n in 0..more {
