--- a/src/choice.rs
+++ b/src/choice.rs
@@ -938,20 +938,21 @@
     }
 
     /// Tokens that all routers have where this one has so many: others the mean told, or own less chance.
-    fn of_all(&self, own: f64, requests: usize, told: f64) -> f64 {
-        let sure = (1.0 - CHANCE / (requests.max(1) as f64).sqrt()).max(0.0);
+    fn of_all(&self) -> impl Fn(f64, usize, f64) -> f64 {
         let others = (self.replicas * (SURGE * self.ahead()).min(1.0) - 1.0).max(0.0);
-        own + others * told.max(own * sure)
+        move |own, n, told| own + others * f64::max(told, own * (1.0 - CHANCE / (n.max(1) as f64).sqrt()))
     }
 
     /// Share of each writer's memory taken to be held: as reported, else by what this router has and had.
     fn shares(&self, writers: &[ServerId]) -> BTreeMap<ServerId, f64> {
         let [for_s, tokens] = self.under_way[1];
-        let mean = tokens / for_s.max(1e-9) / self.listed(false).count().max(1) as f64;
+        let writers_listed: f64 = self.peers.iter().filter(|(of, _)| !of.0).map(|(_, n)| n).sum();
+        let mean = tokens / for_s.max(1e-9) / writers_listed.max(1.0);
+        let of_all = self.of_all();
         let known = |id: &ServerId| {
             let (server, out) = (&self.servers[id], self.out(*id));
             let reported = server.share.filter(|(at, _)| at + REPORT_LIFE > self.now);
-            let all = self.of_all(out.tokens, out.attempts, mean) / server.memory;
+            let all = of_all(out.tokens, out.attempts, mean) / server.memory;
             reported.map_or(all, |(_, share)| share.max(out.tokens / server.memory))
         };
         writers.iter().map(|id| (*id, known(id))).collect()
@@ -970,9 +971,8 @@
         let room = |(id, share): (ServerId, f64)| (SHARE_FULL - share).max(0.0) * self.servers[&id].memory;
         let room: f64 = shares.map(room).sum();
         let reading = self.requests.values().filter(|r| r.phase == Phase::Reading);
-        let reading: Vec<_> = reading.map(|r| r.ask.prompt_tokens).collect();
-        room > self.of_all(reading.iter().sum(), reading.len(), 0.0)
-            || !well.is_empty() && self.outs.is_empty()
+        let (tokens, reads) = reading.fold((0.0, 0), |(sum, n), r| (sum + r.ask.prompt_tokens, n + 1));
+        room > self.of_all()(tokens, reads, 0.0) || !well.is_empty() && self.outs.is_empty()
     }
 
     fn place_held(&mut self) {
