--- a/src/choice.rs
+++ b/src/choice.rs
@@ -233,6 +233,7 @@
     ticking: bool,
     watching: bool,
     peers: BTreeMap<(bool, u32), f64>, // by reading and zone: servers, or the mean; in a release as before it
+    writers_listed: f64,
     under_way: [[f64; 2]; 2], // one, and its requests' tokens: as they stand, and their aged sums over time
     now: Micros,              // the call in hand: its time, what is out, what is to be done
     outs: BTreeMap<ServerId, Out>,
@@ -594,6 +595,7 @@
             }
             known.entry = entry.clone();
         }
+        self.writers_listed = self.listed(false).count() as f64;
         let all = |is| self.servers.values().filter(|s| s.entry.condition == is).count() as f64;
         if all(Condition::Draining) > 0.0 && all(Condition::Ready) <= self.peers.values().sum() {
             return; // A release: as many as before, or each would count beside its replacement.
@@ -739,8 +741,6 @@
         if started == 0 { 1.0 } else { settings.cold_from + (1.0 - settings.cold_from) * age.min(1.0) }
     }
 
-    // ---- Read estimate ----
-
     /// How many of so many readers keep a beginning: one for each reader's worth of requests.
     fn spread(&self, prefix_lot: u64, readers: usize) -> usize {
         let same = self.beginnings.iter().filter(|(lot, _)| *lot == prefix_lot).count();
@@ -946,8 +946,7 @@
     /// Share of each writer's memory taken to be held: as reported, else by what this router has and had.
     fn shares(&self, writers: &[ServerId]) -> BTreeMap<ServerId, f64> {
         let [for_s, tokens] = self.under_way[1];
-        let writers_listed: f64 = self.peers.iter().filter(|(of, _)| !of.0).map(|(_, n)| n).sum();
-        let mean = tokens / for_s.max(1e-9) / writers_listed.max(1.0);
+        let mean = tokens / for_s.max(1e-9) / self.writers_listed.max(1.0);
         let of_all = self.of_all();
         let known = |id: &ServerId| {
             let (server, out) = (&self.servers[id], self.out(*id));
