Name prefixes, cache affinity and the time to first token by the field's words in the module

A rename alone: beginnings are prefixes, start_s is first_token_s, the order of homes is cache affinity, the queue's part is admission control.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,7 +40,7 @@
 const WAITING_CAP: usize = 3; // own answers not yet begun at one writer at which it has no room
 const WAITING_S: f64 = 0.3; // how long the oldest has waited when it has none
 const AWAY_S: f64 = 0.05; // by which a reader of another zone must be sooner: its moves are slow and cost
-const BEGINNINGS: usize = 40; // last requests by which it is told how many bring the same beginning
+const PREFIXES: usize = 40; // last requests by which it is told how many bring the same prefix
 const WAIT_STEP: f64 = 0.3; // weight of a read's wait in its zone's mean
 const WAIT_FADE_S: f64 = 4.0; // over which one not heard of again fades
 const RETRY_AFTER: Micros = 500_000; // until a refused client comes back: so long a queue needs to shrink
@@ -223,10 +223,10 @@
     servers: BTreeMap<ServerId, Server>,
     requests: BTreeMap<RequestId, Request>,
     fit: ReadFit,
-    start_s: f64,
+    first_token_s: f64,
     tenants: Vec<(f64, Micros)>,
     kept: BTreeMap<(u64, ServerId), (f64, Micros)>, // by lot and reader it was sent: tokens, and when
-    beginnings: VecDeque<(u64, Micros)>,            // lots of the last requests' beginnings, and when
+    prefixes: VecDeque<(u64, Micros)>,              // lots of the last requests' prefixes, and when
     waits: BTreeMap<(u32, bool), (Micros, f64)>, // by zone, cold or not: what reads lately waited, and when
     zones: BTreeMap<u32, (Bar, u32)>, // to which dials went unheard, or refused so often, since one answered
     called_off: f64, // reads, as overdue, less a part of what ended well: a jam feeds on what is read again
@@ -248,7 +248,7 @@
         }
         Ok(Self {
             replicas: f64::from(settings.replicas.max(1)),
-            start_s: 0.1, // seconds from a send to a writer to its first token, before there are answers
+            first_token_s: 0.1, // from a send to a writer to its first token, before there are answers
             tenants: vec![(0.0, 0); settings.tenant_rates.len()],
             settings,
             ..Self::default()
@@ -307,8 +307,8 @@
         let (aim, deadline) = (class.aim + grown, class.deadline + 2 * grown);
         let session_lot = number(ask.session.as_deref().unwrap_or(&ask.id.0));
         let prefix_lot = ask.prefix.as_deref().map_or(session_lot, number);
-        self.beginnings.push_front((prefix_lot, self.now));
-        self.beginnings.truncate(BEGINNINGS);
+        self.prefixes.push_front((prefix_lot, self.now));
+        self.prefixes.truncate(PREFIXES);
         let request = Request {
             session_lot,
             prefix_lot,
@@ -471,7 +471,7 @@
         let Some(attempt) = request.attempts.get(n as usize).filter(|a| a.out) else { return };
         request.phase = Phase::Streaming(self.now);
         let (server, took) = (attempt.server, seconds(self.now - attempt.sent));
-        self.start_s += MEAN_STEP * (took - self.start_s);
+        self.first_token_s += MEAN_STEP * (took - self.first_token_s);
         self.hear(server);
     }
 
@@ -729,8 +729,8 @@
     /// A router's part of what the fleet can do, by its tenants' shares, for each request that it has.
     fn ahead(&self) -> f64 {
         let told: f64 = self.settings.tenant_rates.iter().sum();
-        let oldest = self.beginnings.back().map_or(self.now, |(_, at)| *at);
-        let gap_s = seconds(self.now - oldest) / (self.beginnings.len().max(2) - 1) as f64;
+        let oldest = self.prefixes.back().map_or(self.now, |(_, at)| *at);
+        let gap_s = seconds(self.now - oldest) / (self.prefixes.len().max(2) - 1) as f64;
         if told > 0.0 && gap_s > 0.0 { told / self.replicas * gap_s } else { 1.0 }
     }
 
@@ -741,13 +741,13 @@
         if started == 0 { 1.0 } else { settings.cold_from + (1.0 - settings.cold_from) * age.min(1.0) }
     }
 
-    /// How many of so many readers keep a beginning: one for each reader's worth of requests.
+    /// How many of so many readers keep a prefix in their cache: one for each reader's worth of requests.
     fn spread(&self, prefix_lot: u64, readers: usize) -> usize {
-        let same = self.beginnings.iter().filter(|(lot, _)| *lot == prefix_lot).count();
-        (same * readers).div_ceil(BEGINNINGS).max(1).min(readers)
+        let same = self.prefixes.iter().filter(|(lot, _)| *lot == prefix_lot).count();
+        (same * readers).div_ceil(PREFIXES).max(1).min(readers)
     }
 
-    /// Readers as all routers of the zone order them by beginning and session, and how many keep the former.
+    /// Cache affinity: readers as all routers of the zone order them, and how many of them keep its prefix.
     fn homes(&self, request: &Request) -> (Vec<ServerId>, usize) {
         let mut order: Vec<_> = self.listed(true).collect();
         let by_session = |(id, _): &(ServerId, &Server)| mix(request.session_lot, u64::from(id.0));
@@ -771,8 +771,8 @@
             let homes = self.spread(*lot, near.len());
             if before < homes { 1.0 / homes as f64 } else { 0.0 }
         };
-        let unknown = (BEGINNINGS + 1 - self.beginnings.len()) as f64 / near.len() as f64;
-        (self.beginnings.iter().map(part).sum::<f64>() - 1.0 + unknown) / BEGINNINGS as f64
+        let unknown = (PREFIXES + 1 - self.prefixes.len()) as f64 / near.len() as f64;
+        (self.prefixes.iter().map(part).sum::<f64>() - 1.0 + unknown) / PREFIXES as f64
     }
 
     /// Seconds of reading for a thousand tokens.
@@ -801,8 +801,8 @@
             let rank = order.get(id).copied().unwrap_or(order.len());
             let at_home = rank < homes;
             let kept = |lot| self.kept.get(&(lot, *id)).map_or(0.0, |kept| kept.0);
-            let beginning = if at_home { ask.prefix_tokens } else { kept(request.prefix_lot) };
-            let known = kept(request.session_lot).max(beginning.min(ask.prefix_tokens));
+            let prefix = if at_home { ask.prefix_tokens } else { kept(request.prefix_lot) };
+            let known = kept(request.session_lot).max(prefix.min(ask.prefix_tokens));
             let kilotokens = (ask.prompt_tokens - known).max(0.0) / 1000.0;
             let (alone_s, behind_s) = (self.fit.predict(kilotokens), self.out(*id).backlog_s);
             let work_s = (alone_s - self.fit.weights()[0]).max(0.0);
@@ -811,7 +811,7 @@
         readers.iter().map(read).collect()
     }
 
-    // ---- Queue: release, ticket, offload, refusal ----
+    // ---- Queue: admission control, release, ticket, offload, refusal ----
 
     fn release_queued(&mut self) {
         let well = self.well(true);
@@ -825,7 +825,7 @@
                 self.requests.entry(id.clone()).and_modify(|r| r.best = best);
             }
             let request = &self.requests[&id];
-            let ready_at = self.now + micros(request.best.1 + self.start_s);
+            let ready_at = self.now + micros(request.best.1 + self.first_token_s);
             if ready_at > request.hopeless {
                 self.give_up(&id);
                 continue;
@@ -908,10 +908,10 @@
         }
         let (phase, expected_s) = match request.phase {
             _ if reading => (Phase::Reading, read.total_s),
-            Phase::Held(reader, since) => (Phase::Writing(Some((reader, since))), self.start_s),
+            Phase::Held(reader, since) => (Phase::Writing(Some((reader, since))), self.first_token_s),
             // Until there are answers the aim stands in for an estimate of one that comes in one piece.
             _ if self.fit.answers < FIT_AFTER => (Phase::Writing(None), seconds(request.aim - request.came)),
-            _ => (Phase::Writing(None), read.total_s + self.start_s),
+            _ => (Phase::Writing(None), read.total_s + self.first_token_s),
         };
         request.phase = phase;
         let (sent, out, cancelled, may_have_run) = (self.now, true, false, !reading);
