Let a task's own handle say when a release has ended, and the harness play the routers of two tests

- A release that goes before an attempt was tracked by a flag, a second flag, a notification and a guard.
It is the task's handle now: waited for, or ended after the same 0.25 s.
One difference: the try under way is ended with it, where it ran on for up to 0.1 s beside the attempt.
- A list's entry cloned its uid only to name it in a line for entries that cannot be read: it is looked up there.
- Probing of writers stands with the writers in the module; AGAIN_WITHIN is private.
- tests/cold.rs and tests/placement.rs use the harness that was there and fastrand, not outcomes and draws of their own.
Their claims and bounds are the same.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -554,27 +554,6 @@
         }
     }
 
-    /// Has writers whose load is guessed probed where a request waits for them; whether an answer is to come.
-    fn asks_writers(&mut self, id: &RequestId) -> bool {
-        if !self.settings.may_probe || self.writer_room(&self.requests[id]) {
-            return false;
-        }
-        let (now, lot, mut waits) = (self.now, self.requests[id].lot, false);
-        let mut writers = self.candidates(&self.requests[id], false);
-        let away = |id: &ServerId| self.servers[id].entry.zone != self.settings.zone;
-        writers.sort_by_key(|id| (away(id), mix(lot, u64::from(id.0))));
-        for id in writers.into_iter().take(PROBES) {
-            let Some(server) = self.servers.get_mut(&id) else { continue };
-            let guessed = server.share.is_none_or(|(at, _)| at + REPORT_LIFE <= now);
-            if guessed && server.probed + PROBE_PAUSE <= now {
-                server.probed = now;
-                self.actions.push(Action::Probe { server: id });
-            }
-            waits |= guessed && server.probed + PROBE_WAIT > now;
-        }
-        waits
-    }
-
     // ---- Servers: roster, health, cold budget ----
 
     fn take_roster(&mut self, form: RosterForm, entries: &[Entry]) {
@@ -974,6 +953,27 @@
         room > self.of_all()(tokens, reads, 0.0) || !well.is_empty() && self.outs.is_empty()
     }
 
+    /// Has writers whose load is guessed probed where a request waits for them; whether an answer is to come.
+    fn asks_writers(&mut self, id: &RequestId) -> bool {
+        if !self.settings.may_probe || self.writer_room(&self.requests[id]) {
+            return false;
+        }
+        let (now, lot, mut waits) = (self.now, self.requests[id].lot, false);
+        let mut writers = self.candidates(&self.requests[id], false);
+        let away = |id: &ServerId| self.servers[id].entry.zone != self.settings.zone;
+        writers.sort_by_key(|id| (away(id), mix(lot, u64::from(id.0))));
+        for id in writers.into_iter().take(PROBES) {
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            let guessed = server.share.is_none_or(|(at, _)| at + REPORT_LIFE <= now);
+            if guessed && server.probed + PROBE_PAUSE <= now {
+                server.probed = now;
+                self.actions.push(Action::Probe { server: id });
+            }
+            waits |= guessed && server.probed + PROBE_WAIT > now;
+        }
+        waits
+    }
+
     fn place_held(&mut self) {
         for id in self.ids(|r| matches!(r.phase, Phase::Held(..))) {
             if let Some(writer) = self.choose_writer(&self.requests[&id]) {
--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -25,8 +25,9 @@
 fn readable<'de, D: serde::Deserializer<'de>>(targets: D) -> Result<Vec<Target>, D::Error> {
     let all = Vec::<serde_json::Value>::deserialize(targets)?;
     let read = |target: serde_json::Value| {
-        let uid = target.get("uid").cloned().unwrap_or_default();
-        serde_json::from_value(target).map_err(|e| log::warn!("list entry left out uid={uid} {e}")).ok()
+        let left_out =
+            |e| log::warn!("list entry left out uid={} {e}", target.get("uid").unwrap_or_default());
+        Target::deserialize(&target).map_err(left_out).ok()
     };
     Ok(all.into_iter().filter_map(read).collect())
 }
--- a/src/gateway/book.rs
+++ b/src/gateway/book.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 /// Answers given since the last line of the log.
 #[derive(Debug, Default)]
@@ -26,34 +26,6 @@
     unreleased: u64,
 }
 
-/// A call that lets go of what is held for a request, on its way.
-#[derive(Debug, Default)]
-pub(super) struct Releasing {
-    over: Cell<bool>,
-    stopped: Cell<bool>,
-    ended: Notify,
-}
-
-/// Marks the call as over, however it ended.
-struct Over(Rc<Releasing>);
-
-impl Drop for Over {
-    fn drop(&mut self) {
-        self.0.over.set(true);
-        self.0.ended.notify_waiters();
-    }
-}
-
-impl Releasing {
-    /// Waits for its end, but not for longer than so; then it is not tried again.
-    pub(super) async fn ended(&self, most: Duration) {
-        let ended = self.ended.notified();
-        if !self.over.get() && tokio::time::timeout(most, ended).await.is_err() {
-            self.stopped.set(true);
-        }
-    }
-}
-
 /// Gives the answers and lets go of what is held.
 pub(super) struct Book<E: Engines> {
     engines: Rc<E>,
@@ -154,22 +126,15 @@
         engines.into_iter().map(|(_, endpoint)| endpoint).collect()
     }
 
-    /// Lets go of what is held for the request, at whichever engine takes the call. Tries after the
-    /// first stop once an attempt of the request is written: what that one leaves must stay.
-    pub(super) fn release(&self, id: RequestId, delay: Duration, waits: Rc<Cell<bool>>) -> Rc<Releasing> {
+    /// Lets go of what is held for the request, at whichever engine takes the call. Whoever writes an attempt of
+    /// the request waits for the task, or ends it: what that attempt leaves must stay.
+    pub(super) fn release(&self, id: RequestId, delay: Duration, waits: Rc<Cell<bool>>) -> JoinHandle<()> {
         let engines = self.in_order_of_trust();
         let (engine, patience, counts) = (self.engines.clone(), self.patience, self.counts.clone());
-        let releasing = Rc::<Releasing>::default();
-        let over = Over(releasing.clone());
         tokio::task::spawn_local(async move {
-            let mut again = !delay.is_zero();
             tokio::time::sleep(delay).await;
             waits.set(false);
             for endpoint in engines {
-                if again && over.0.stopped.get() {
-                    return;
-                }
-                again = true;
                 match tokio::time::timeout(patience, engine.release(endpoint.clone(), id.clone())).await {
                     Ok(Ok(())) => return,
                     Ok(Err(error)) => log::debug!("release request={} at={endpoint} {error}", id.0),
@@ -178,8 +143,7 @@
             }
             counts.borrow_mut().unreleased += 1;
             log::warn!("release failed everywhere request={}", id.0);
-        });
-        releasing
+        })
     }
 
     /// Writes the counts to the log and begins anew.
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module, its clock and timers, and the open requests; carries out its actions.
 
 use super::admit::{Admission, Admitted};
-use super::book::{Book, Releasing};
+use super::book::Book;
 use super::figures::{Counter, Fate, Figures};
 use super::relay::{Departure, End, Leaving, Relay};
 use super::roster::Roster;
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{Instant, MissedTickBehavior};
 
 /// Figures of the core that are not the module's.
@@ -203,7 +203,7 @@
     /// Whether a release is already about to go out.
     release_waits: Rc<Cell<bool>>,
     /// The release that went out last: an attempt is written only after it.
-    releasing: Option<Rc<Releasing>>,
+    releasing: Option<JoinHandle<()>>,
 }
 
 impl<E: Engines> Open<E> {
@@ -541,10 +541,10 @@
     }
 
     fn send(&mut self, id: RequestId, server: ServerId) {
-        if self.releases.contains(&id) {
+        if let Some(at) = self.releases.iter().position(|other| *other == id) {
             // What is held goes before the attempt: it may not come up, and the time of what is held runs on.
-            self.releases.retain(|other| *other != id);
-            self.release(id.clone());
+            let id = self.releases.remove(at);
+            self.release(id);
         }
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len() as u32;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,6 +1,5 @@
 //! Fourth stage: one attempt at one engine, up to its answer's first piece.
 
-use super::book::Releasing;
 use super::driver::Input;
 use super::{AttemptError, Call, Engines, EventStream, Progress, Replied, Reply};
 use crate::interface::Status;
@@ -9,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 
 /// What an attempt brought, its answer begun but not passed on.
 pub(super) struct Begun<S> {
@@ -43,20 +42,19 @@
     engines: &Rc<E>,
     call: Call<E::Job>,
     attempt: u32,
-    (released, most): (Option<Rc<Releasing>>, Duration),
+    (releasing, most): (Option<JoinHandle<()>>, Duration),
     inbox: &mpsc::UnboundedSender<Input<E>>,
 ) -> AbortHandle {
     let (engines, inbox) = (engines.clone(), inbox.clone());
     let task = tokio::task::spawn_local(async move {
         let (id, patience) = (call.id.clone(), call.patience);
-        let released = async move {
-            if let Some(released) = released {
-                released.ended(most).await;
-            }
-        };
         let late = |_| Err(AttemptError::new(Progress::TimedOut, "no answer in time"));
         let attempt_made = async {
-            released.await;
+            if let Some(mut releasing) = releasing
+                && tokio::time::timeout(most, &mut releasing).await.is_err()
+            {
+                releasing.abort();
+            }
             begin(&*engines, call).await
         };
         let result = tokio::time::timeout(patience, attempt_made).await.unwrap_or_else(late);
--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -48,7 +48,7 @@
 const BLANK_MOST: Duration = Duration::from_secs(1);
 /// How long after a call began the next begins at the latest if it failed, however it did: what discovery has to
 /// tell counts 6 s after it can be reached again, and may have been asked in vain the moment before that.
-pub(super) const AGAIN_WITHIN: Duration = Duration::from_millis(4_800);
+const AGAIN_WITHIN: Duration = Duration::from_millis(4_800);
 /// How long a call that opens a watch may take, with its dial, before it is given up: less than that, and as long
 /// as may be, for whoever is given up while it waits in turn is work for nothing and stands at the end again.
 const PATIENCE: Duration = Duration::from_secs(4);
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -2,7 +2,6 @@
 
 mod common;
 use common::*;
-use meadowlug::Router;
 use meadowlug::interface::*;
 use rstest::rstest;
 
@@ -13,16 +12,6 @@
 /// What a warm reader does, in requests a second.
 const CAPACITY: f64 = 5.0;
 
-/// Evenly drawn numbers, the same for a seed.
-struct Draws(u64);
-
-impl Draws {
-    fn next(&mut self) -> f64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
 /// A fleet of three zones.
 #[derive(Clone, Copy, Debug)]
 struct Fleet {
@@ -69,15 +58,12 @@
 
     /// Plays the first seconds after the start; gives the times at which the server was sent a request.
     fn play(&self, seed: u64, warm_up_s: f64, for_s: f64) -> Vec<Micros> {
-        let mut draws = Draws(seed.wrapping_mul(0x9e37_79b9) ^ 0x5bd1_e995);
-        for _ in 0..20 {
-            draws.next();
-        }
+        let mut draws = fastrand::Rng::with_seed(seed);
         let rate = self.comes * f64::from(self.readers) * CAPACITY;
-        let new = |n: u32| Router::new(self.settings(n % 3), u64::from(n)).expect("lawful");
-        let tell = |router: &mut Router, at, started| {
-            let entries = self.entries(started);
-            router.handle(at, &[Event::Roster { form: RosterForm::Full, entries }]);
+        let new = |n: u32| Harness::new(self.settings(n % 3), &[]);
+        let tell = |router: &mut Harness, at, started| {
+            router.now = at;
+            router.roster(self.entries(started));
         };
         let begin = START - (warm_up_s * 1e6) as Micros;
         let mut routers: Vec<_> = (0..self.routers).map(new).collect();
@@ -85,22 +71,22 @@
         let weights: f64 = (1..=self.beginnings).map(|n| 1.0 / n as f64).sum();
         let (mut at, mut told, mut sent, mut n) = (begin as f64, false, Vec::new(), 0);
         loop {
-            at -= (1.0 - draws.next()).ln() / rate * 1e6;
+            at -= (1.0 - draws.f64()).ln() / rate * 1e6;
             let now = at as Micros;
             if now > START + (for_s * 1e6) as Micros {
                 return sent;
             }
             if now >= START && !std::mem::replace(&mut told, true) {
                 for number in 0..self.routers {
-                    if draws.next() < self.restarted {
+                    if draws.f64() < self.restarted {
                         routers[number as usize] = new(number);
                     }
                     tell(&mut routers[number as usize], START, true);
                 }
             }
-            let of_all = (draws.next() * f64::from(self.routers)) as usize;
-            let router = &mut routers[if draws.next() < self.uneven { 0 } else { of_all }];
-            let (mut place, mut beginning) = (draws.next() * weights, 1);
+            let of_all = (draws.f64() * f64::from(self.routers)) as usize;
+            let router = &mut routers[if draws.f64() < self.uneven { 0 } else { of_all }];
+            let (mut place, mut beginning) = (draws.f64() * weights, 1);
             while place > 1.0 / beginning as f64 && beginning < self.beginnings {
                 place -= 1.0 / beginning as f64;
                 beginning += 1;
@@ -113,21 +99,14 @@
                 prefix_tokens: 600.0,
                 ..arrival(&name)
             };
-            let sends = all_sends(&router.handle(now, &[Event::Request(ask)]));
+            router.now = now;
+            let sends = all_sends(&router.ask(ask));
             if sends.iter().any(|(_, to)| *to == COLD) {
                 sent.push(now);
             }
             // Read, and no longer of interest.
-            router.handle(now, &[Event::Abandoned { id: id(&name) }]);
-            let read = Outcome {
-                id: id(&name),
-                attempt: 0,
-                status: Status::Read,
-                finished: false,
-                note: 600.0,
-                load: Load::default(),
-            };
-            router.handle(now, &[Event::Outcome(read)]);
+            router.handle(&[Event::Abandoned { id: id(&name) }]);
+            router.outcome(&name, 0, Status::Read, 600.0, Load::default());
         }
     }
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,7 +3,6 @@
 
 mod common;
 use common::*;
-use meadowlug::Router;
 use meadowlug::interface::*;
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -29,24 +28,19 @@
 };
 
 impl Deployment {
-    fn router(&self, seed: u64, readers: &[u32]) -> Router {
+    fn router(&self, readers: &[u32]) -> Harness {
         let settings = Settings {
             replicas: self.routers,
             memory_tokens: if self.memory > 0.0 { vec![self.memory; 3] } else { Vec::new() },
             ..settings()
         };
-        let mut router = Router::new(settings, seed).expect("lawful");
-        self.list(&mut router, readers);
+        let mut router = Harness::new(settings, &[]);
+        let reader = |n: &u32| Entry { server: ServerId(*n), ..Entry::default() };
+        let writer = |n: u32| Entry { server: ServerId(9_000 + n), kind: 1, ..Entry::default() };
+        router.roster(readers.iter().map(reader).chain((1..4).map(writer)).collect());
         router
     }
 
-    fn list(&self, router: &mut Router, readers: &[u32]) {
-        let mut entries: Vec<_> =
-            readers.iter().map(|n| Entry { server: ServerId(*n), ..Entry::default() }).collect();
-        entries.extend((1..4).map(|n| Entry { server: ServerId(9_000 + n), kind: 1, ..Entry::default() }));
-        router.handle(NOW, &[Event::Roster { form: RosterForm::Full, entries }]);
-    }
-
     fn ask(&self, name: &str, beginning: usize) -> Arrival {
         Arrival {
             session: Some(name.into()),
@@ -58,24 +52,20 @@
     }
 
     /// Where a request is read; nothing is left of it.
-    fn read(&self, router: &mut Router, name: &str, beginning: usize) -> Option<u32> {
-        let sends = all_sends(&router.handle(NOW, &[Event::Request(self.ask(name, beginning))]));
-        router.handle(NOW, &[Event::Abandoned { id: id(name) }]);
-        let (status, finished, note) = (Status::Cancelled, true, 0.0);
-        let ended = Outcome { id: id(name), attempt: 0, status, finished, note, load: Load::default() };
-        router.handle(NOW, &[Event::Outcome(ended)]);
+    fn read(&self, router: &mut Harness, name: &str, beginning: usize) -> Option<u32> {
+        let sends = all_sends(&router.ask(self.ask(name, beginning)));
+        router.handle(&[Event::Abandoned { id: id(name) }]);
+        router.ended(name, 0, Status::Cancelled);
         sends.first().map(|(_, to)| *to)
     }
 
     /// Where one request of each beginning is read, each at a router of its own.
     fn homes(&self, readers: &[u32]) -> Vec<Option<u32>> {
-        let one = |n: usize| self.read(&mut self.router(n as u64, readers), &format!("s{n}"), n);
+        let one = |n: usize| self.read(&mut self.router(readers), &format!("s{n}"), n);
         (0..self.beginnings.max(100)).map(one).collect()
     }
 }
 
-const NOW: Micros = 100_000_000;
-
 #[rstest]
 #[case::many(MANY)]
 #[case::few(Deployment { routers: 3, readers: 6, ..MANY })]
@@ -107,7 +97,7 @@
 #[case::half_of_all(2)]
 fn beginning_that_many_bring_has_several_homes(#[case] of: usize) {
     let all: Vec<_> = (1..=MANY.readers).collect();
-    let mut router = MANY.router(1, &all);
+    let mut router = MANY.router(&all);
     let mut hot = BTreeMap::<u32, usize>::new();
     for n in 0..400 {
         let beginning = if n % of == 0 { 0 } else { n };
@@ -126,11 +116,11 @@
 fn nothing_goes_to_a_reader_that_drains_or_is_excluded() {
     let all: Vec<_> = (1..=MANY.readers).collect();
     for n in 0..100 {
-        let mut router = MANY.router(n, &all);
-        let home = MANY.read(&mut router, "before", n as usize).expect("a reader");
+        let mut router = MANY.router(&all);
+        let home = MANY.read(&mut router, "before", n).expect("a reader");
         let drains = Entry { server: ServerId(home), condition: Condition::Draining, ..Entry::default() };
-        router.handle(NOW, &[Event::Roster { form: RosterForm::Delta, entries: vec![drains] }]);
-        assert_ne!(MANY.read(&mut router, "after", n as usize), Some(home));
+        router.handle(&[Event::Roster { form: RosterForm::Delta, entries: vec![drains] }]);
+        assert_ne!(MANY.read(&mut router, "after", n), Some(home));
     }
 }
 
