End an earlier release of a request when a newer one goes out

From the same read: an attempt waits for the newest release alone. An older one whose first engine could not be reached went on being tried beside it, and could take the state of the read that followed; before states were let go first, the count of attempts out had stopped it. It is ended now. No test causes it: two releases of one request in flight need two turns within 0.1 s.

--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -620,7 +620,11 @@
         }
         let delay = if late { self.tuning.release_delay } else { Duration::ZERO };
         log::debug!("release request={} answered={} out={}", id.0, open.answered, open.out);
-        open.releasing = Some(self.book.release(id, delay, open.release_waits.clone()));
+        let releasing = self.book.release(id, delay, open.release_waits.clone());
+        // The same call, further behind: beside an attempt that waits for the newer one alone it could overtake that.
+        if let Some(earlier) = open.releasing.replace(releasing) {
+            earlier.abort();
+        }
     }
 
     /// Forgets the requests that have their answer and nothing out.
