Pass a client's idempotency key on to the engines

Cause: where a class is keyed, clients send Idempotency-Key and engines drop repeats by it. The gateway named the headers that it sends one by one and left that one out, so no engine could recognise a repeat. Ruled out: body, path and id, which were as sent. Lines: call_request in src/net/engines.rs, and Platform::take, which did not keep it. Change: the job carries the key, and every attempt of it sends it as it came. The test fails without it, first attempt and repeat.

--- a/src/front/inference.rs
+++ b/src/front/inference.rs
@@ -198,7 +198,13 @@
                 expires_in,
                 ..Arrival::default()
             },
-            job: Job { path, body, manner: Manner::Single { list, entries: ask.entries } },
+            // Repeats under a key are recognised here; engines are sent no more than one run of it at a time.
+            job: Job {
+                path,
+                body,
+                idempotency_key: None,
+                manner: Manner::Single { list, entries: ask.entries },
+            },
             size,
             key,
         };
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -67,7 +67,8 @@
         let mut arrival = told.map_err(|message| wrong(&message))?;
         arrival.expires_in = arrival.expires_in.saturating_sub(came.elapsed().as_micros() as Micros);
         let size = body.len();
-        let job = Job { path, body, manner: Manner::Staged };
+        let idempotency_key = headers.get("idempotency-key").cloned();
+        let job = Job { path, body, idempotency_key, manner: Manner::Staged };
         let submission = Submission { arrival, job, size, key: None };
         self.gateway.submit(submission).map_err(reply::rejection)
     }
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use std::cell::Cell;
 use std::pin::Pin;
@@ -40,6 +40,8 @@
     pub path: String,
     /// The body.
     pub body: Bytes,
+    /// The key by which engines recognise a repeat of the request, as its client sent it.
+    pub idempotency_key: Option<HeaderValue>,
     /// How it is worked on.
     pub manner: Manner,
 }
@@ -87,7 +89,10 @@
     headers.insert("req-id", call.id.0.parse().map_err(lost)?);
     let wait = format!("{}m", call.patience.as_millis().max(1));
     headers.insert("req-deadline", wait.parse().map_err(lost)?);
-    headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(key) = &job.idempotency_key {
+        headers.insert("idempotency-key", key.clone());
+    }
     Ok(request)
 }
 
--- a/tests/chat.rs
+++ b/tests/chat.rs
@@ -51,6 +51,37 @@
     .await;
 }
 
+// Engines drop repeats of a request by its key: sent without it, a repeat would run a second time.
+#[rstest]
+#[case::with_a_key(Some("6a85b48b0ccb33ef"))]
+#[case::without_one(None)]
+#[tokio::test]
+async fn idempotency_key_reaches_every_engine_as_the_client_sent_it(#[case] key: Option<&str>) {
+    local(async {
+        let w = World::start().await;
+        w.set(&w.writers, Mode::Declines);
+        w.writers[0].mode.set(Mode::Well);
+        let plain = [("Req-Kind", "lookup"), ("Req-Owner", "desk"), ("Req-Deadline", "9000m")];
+        for n in 0..6 {
+            let id = format!("a{n}");
+            let mut headers = plain.to_vec();
+            headers.push(("Req-Id", &id));
+            headers.extend(key.map(|key| ("Idempotency-Key", key)));
+            let answer = ask(w.daemon.address, "POST", "/v1/chat/completions", &headers, CHAT).await;
+            assert_eq!(answer.status, 200);
+        }
+        assert!(w.writers[1].count("/v1/") > 0, "no attempt was repeated");
+        for engine in w.readers.iter().chain(&w.writers) {
+            let seen = engine.seen.borrow();
+            let attempts = seen.iter().filter(|seen| seen.path.starts_with("/v1/"));
+            let keys: Vec<_> =
+                attempts.map(|s| s.headers.get("idempotency-key").map(String::as_str)).collect();
+            assert!(keys.iter().all(|sent| *sent == key), "{keys:?}");
+        }
+    })
+    .await;
+}
+
 // What is malformed costs an engine nothing and the gateway no panic.
 #[rstest]
 #[case::no_id(&[("Req-Kind", "lookup"), ("Req-Owner", "desk")], CHAT, 400)]
