--- a/src/bin/meadowlug-benchlink/wire.rs
+++ b/src/bin/meadowlug-benchlink/wire.rs
@@ -274,7 +274,7 @@
     let text = |id: &RequestId| id.0.clone();
     // Writing to a string cannot fail.
     let _ = match action {
-        Action::Send { id, server } => {
+        Action::Send { id, server, .. } => {
             writeln!(to, "SEND routerId={instance} ref={} worker={}", text(id), server.0)
         }
         Action::Probe { server } => writeln!(to, "TOUCH routerId={instance} worker={}", server.0),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,9 @@
 //! priority readers; the hopeless are refused unread. What was read goes at once to a writer.
 
 use crate::interface::*;
+use crate::numeric::{AgedLeastSquares, Fading, draw, micros, mix, number, seconds};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
 
 // Time is in microseconds unless a name ends in _S. The first ones are the design's.
 const PRIORITY_EVERY: usize = 3; // every so many readers, by sorted id, one serves priority
@@ -13,7 +15,6 @@
 const SHARE_FAR: f64 = 0.2; // lead in memory share at which locality yields
 const FIRST_GUESS: [f64; 3] = [0.2, 0.1, 0.0]; // read estimate before there are answers, as ReadFit's weights
 const FIT_AFTER: u32 = 10; // answers before the fit replaces the first guess
-const FIT_ROUNDS: u32 = 200; // solver's rounds an answer: the terms are nearly collinear, few leave it biased
 const AGE_S: f64 = 10.0; // over which answers age in every fit and mean kept here
 const KEPT: Micros = 60_000_000; // how long a reader is taken to keep a session's prompt
 const SHARE_FULL: f64 = 0.92; // of writer memory that is read for; past it answers push each other out
@@ -27,12 +28,13 @@
 const OVERDUE_S: f64 = 0.5; // and than this
 const CALLED_OFF_PART: f64 = 0.1; // reads called off as overdue for each read and answer that ended well
 const REFUSED_MOST: u32 = 3; // dials refused in a row that tell of a zone as one unheard: a table may be full
+const RESTART_TOLD: Micros = 6_000_000; // by when the list tells of a restart (protocol)
 const UNHEARD_S: f64 = 0.1; // after which a dial was unheard, not refused: a no takes a few round trips
 const BACK_OFF: Micros = 500_000; // first time a failing server is left alone; doubles
 const BACK_OFF_MOST: Micros = 4_000_000; // and longest
 const ERROR_STEP: f64 = 0.35; // what an error adds of the rest to a server's error share
 const SUCCESS_LEAVES: f64 = 0.8; // what a success leaves of it
-const ERROR_MOST: f64 = 0.4; // where a server is left out
+const ERROR_MOST: f64 = 0.4; // where it is left out: errors come quickly and would draw all the work
 const COLD_PART: f64 = 0.6; // of the cold budget were the fleet at capacity; the rest is for chance
 const SHARE_BURST_S: f64 = 1.0; // of its rate that a tenant may run ahead before it is past its share
 const MEAN_STEP: f64 = 0.1; // weight of a new answer in a running mean
@@ -47,31 +49,6 @@
 const LOOKS: usize = 8; // queued requests weighed anew at an event: all would cost queue times servers
 const TICK: Micros = 20_000; // how often open requests are looked at
 
-fn seconds(span: Micros) -> f64 {
-    span as f64 / 1e6
-}
-
-fn micros(seconds: f64) -> Micros {
-    (seconds.max(0.0) * 1e6) as Micros
-}
-
-/// Evenly spread bits of two numbers: the same at every router that puts in the same.
-fn mix(a: u64, b: u64) -> u64 {
-    let bits = (a ^ b.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let bits = (bits ^ (bits >> 31)).wrapping_mul(0xd6e8_feb8_6659_fd93);
-    bits ^ (bits >> 32)
-}
-
-/// A text as a number to mix.
-fn number(text: &str) -> u64 {
-    text.bytes().fold(0, |hash, byte| mix(hash, u64::from(byte)))
-}
-
-/// Bits as a draw between 0 and 1.
-fn draw(bits: u64) -> f64 {
-    (bits >> 11) as f64 / (1u64 << 53) as f64
-}
-
 /// Where a request stands; held and writing: whose state, and since when that waits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
@@ -110,6 +87,7 @@
 #[derive(Debug)]
 struct Request {
     ask: Arrival,
+    settings: Rc<Settings>, // those under which it came hold for it to its end
     session_lot: u64,
     prefix_lot: u64,
     lot: u64, // by session and length, so that a next try draws the same
@@ -123,6 +101,32 @@
     attempts: Vec<Attempt>,
 }
 
+impl Request {
+    fn class(&self) -> &Class {
+        &self.settings.classes[self.ask.class.min(self.settings.classes.len() - 1)]
+    }
+
+    /// The first attempt that may have run.
+    fn ran(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|a| a.may_have_run)
+    }
+
+    /// When a repeat must have been written, if that matters.
+    fn repeat_before(&self) -> Option<Micros> {
+        match self.class().effect {
+            Effect::Keyed { window, .. } => self.ran().map(|ran| ran.sent + window),
+            _ => None,
+        }
+    }
+
+    /// Whether no further attempt can be made.
+    fn is_spent(&self, now: Micros) -> bool {
+        let late = self.repeat_before().is_some_and(|end| end <= now + self.settings.resolution);
+        let unsafe_run = self.ran().is_some() && self.class().effect == Effect::Unsafe;
+        late || unsafe_run || self.attempts.len() >= self.settings.max_attempts as usize
+    }
+}
+
 /// How often in a row a server or zone failed, and until when it is left alone for that.
 #[derive(Debug, Default)]
 struct Bar {
@@ -140,6 +144,13 @@
     }
 }
 
+/// A break after which a server may have been started again, which the list tells seconds later.
+#[derive(Debug)]
+struct Break {
+    at: Micros,
+    answered: Option<Micros>, // the first answer to what was sent after it
+}
+
 /// What this router knows of one server.
 #[derive(Debug, Default)]
 struct Server {
@@ -149,15 +160,9 @@
     share: Option<(Micros, f64)>,
     probed: Micros,
     bar: Bar,
-    heard: Micros,         // when it last answered well
-    errors: (Micros, f64), // share of errors among its late answers, and when that was
-}
-
-impl Server {
-    /// Errors come quickly: one that makes many of them is never busy and would draw all the work.
-    fn error_share(&self, now: Micros) -> f64 {
-        self.errors.1 * (-seconds(now - self.errors.0) / AGE_S).exp()
-    }
+    broke: Option<Break>,
+    heard: Micros,  // when it last answered well
+    errors: Fading, // the share of errors among its late answers
 }
 
 /// What this router has out at one server.
@@ -172,19 +177,17 @@
     tokens: f64,
 }
 
-/// Aged least squares of read time on 1, thousands of uncached tokens, and their square.
+/// Read time by 1, thousands of uncached tokens, and their square.
 #[derive(Debug, Default)]
 struct ReadFit {
-    sums: [[f64; 4]; 3], // aged, of the terms' products with each other and, last, with the time
-    fitted: [f64; 3],
+    squares: AgedLeastSquares,
     answers: u32,
     mean_kilotokens: f64,
-    at: Micros,
 }
 
 impl ReadFit {
     fn weights(&self) -> [f64; 3] {
-        if self.answers < FIT_AFTER { FIRST_GUESS } else { self.fitted }
+        if self.answers < FIT_AFTER { FIRST_GUESS } else { self.squares.weights() }
     }
 
     fn predict(&self, kilotokens: f64) -> f64 {
@@ -193,32 +196,16 @@
     }
 
     fn learn(&mut self, now: Micros, kilotokens: f64, took_s: f64) {
-        let age = (-seconds(now.saturating_sub(self.at)) / AGE_S).exp();
-        self.at = now;
         self.answers += 1;
         self.mean_kilotokens += MEAN_STEP * (kilotokens - self.mean_kilotokens);
-        let terms = [1.0, kilotokens, kilotokens * kilotokens, took_s];
-        for (row, x) in self.sums.iter_mut().zip(terms) {
-            for (sum, y) in row.iter_mut().zip(terms) {
-                *sum = *sum * age + x * y;
-            }
-        }
-        // Gauss-Seidel from the last weights, none below zero: a negative one would call long reads free.
-        for _ in 0..FIT_ROUNDS {
-            for i in 0..3 {
-                let row = self.sums[i];
-                let all: f64 = (0..3).map(|j| row[j] * self.fitted[j]).sum();
-                let rest = row[3] - all + row[i] * self.fitted[i];
-                self.fitted[i] = (rest / row[i].max(1e-9)).max(0.0);
-            }
-        }
+        self.squares.learn(now, AGE_S, [1.0, kilotokens, kilotokens * kilotokens], took_s);
     }
 }
 
 /// One router's decisions.
 #[derive(Debug, Default)]
 pub struct Router {
-    settings: Settings,
+    settings: Rc<Settings>,
     replicas: f64,
     servers: BTreeMap<ServerId, Server>,
     requests: BTreeMap<RequestId, Request>,
@@ -227,13 +214,12 @@
     tenants: Vec<(f64, Micros)>,
     kept: BTreeMap<(u64, ServerId), (f64, Micros)>, // by lot and reader it was sent: tokens, and when
     prefixes: VecDeque<(u64, Micros)>,              // lots of the last requests' prefixes, and when
-    waits: BTreeMap<(u32, bool), (Micros, f64)>, // by zone, cold or not: what reads lately waited, and when
+    waits: BTreeMap<(u32, bool), Fading>,           // by zone, cold or not: what reads lately waited
     zones: BTreeMap<u32, (Bar, u32)>, // to which dials went unheard, or refused so often, since one answered
     called_off: f64, // reads, as overdue, less a part of what ended well: a jam feeds on what is read again
     ticking: bool,
     watching: bool,
     peers: BTreeMap<(bool, u32), f64>, // by reading and zone: servers, or the mean; in a release as before it
-    writers_listed: f64,
     under_way: [[f64; 2]; 2], // one, and its requests' tokens: as they stand, and their aged sums over time
     now: Micros,              // the call in hand: its time, what is out, what is to be done
     outs: BTreeMap<ServerId, Out>,
@@ -250,7 +236,7 @@
             replicas: f64::from(settings.replicas.max(1)),
             first_token_s: 0.1, // from a send to a writer to its first token, before there are answers
             tenants: vec![(0.0, 0); settings.tenant_rates.len()],
-            settings,
+            settings: Rc::new(settings),
             ..Self::default()
         })
     }
@@ -302,7 +288,7 @@
     // ---- Lifecycle and the final answer ----
 
     fn take_request(&mut self, ask: &Arrival) {
-        let class = self.class(ask);
+        let class = &self.settings.classes[ask.class.min(self.settings.classes.len() - 1)];
         let grown = (ask.prompt_tokens / 1000.0 * class.aim_per_1000 as f64) as Micros;
         let (aim, deadline) = (class.aim + grown, class.deadline + 2 * grown);
         let session_lot = number(ask.session.as_deref().unwrap_or(&ask.id.0));
@@ -317,6 +303,7 @@
             came: self.now,
             aim: self.now + aim,
             hopeless: self.now + ask.expires_in.min(deadline),
+            settings: self.settings.clone(),
             // What was counted at its first try is not counted again: a break brings many back at once.
             over_share: !ask.resumed && self.over_share(ask.tenant),
             best: (0, 0.0),
@@ -339,28 +326,21 @@
         *level > (part * SHARE_BURST_S).max(2.0)
     }
 
-    fn class(&self, ask: &Arrival) -> &Class {
-        &self.settings.classes[ask.class.min(self.settings.classes.len() - 1)]
-    }
-
     /// Whether a refusal would be true: nothing that may have run can be repeated with harm.
     fn may_refuse(&self, request: &Request) -> bool {
         let clean = request.attempts.iter().all(|a| !a.may_have_run && !a.out);
-        let effect = self.class(&request.ask).effect;
-        clean || matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. })
+        clean || matches!(request.class().effect, Effect::Safe | Effect::Keyed { group: Group::All, .. })
     }
 
     /// Whether its class allows the request at the server, after what earlier attempts may have done.
     fn may_send(&self, request: &Request, to: ServerId) -> bool {
-        let ran = request.attempts.iter().find(|a| a.may_have_run);
-        match (ran, self.class(&request.ask).effect) {
+        match (request.ran(), request.class().effect) {
             (None, _) | (_, Effect::Safe) => true,
             (_, Effect::Unsafe) => false,
-            (Some(ran), Effect::Keyed { group, window }) => {
+            (Some(ran), Effect::Keyed { group, .. }) => {
                 let (a, b) = (&self.servers[&ran.server].entry, &self.servers[&to].entry);
                 let near = a.zone == b.zone && (group == Group::Zone || a.cell == b.cell);
-                let same = group == Group::All || near;
-                same && self.now + self.settings.resolution < ran.sent + window
+                (group == Group::All || near) && !request.is_spent(self.now)
             }
         }
     }
@@ -380,9 +360,10 @@
 
     /// Calls off what is out.
     fn recall(&mut self, id: &RequestId) {
-        let attempts = self.requests.get_mut(id).map(|r| &mut r.attempts);
-        for (n, attempt) in (0..).zip(attempts.into_iter().flatten()) {
-            if attempt.out && !attempt.cancelled && self.settings.may_cancel {
+        let Some(Request { attempts, settings, .. }) = self.requests.get_mut(id) else { return };
+        let may_cancel = settings.may_cancel;
+        for (n, attempt) in (0..).zip(attempts) {
+            if attempt.out && !attempt.cancelled && may_cancel {
                 attempt.cancelled = true;
                 self.actions.push(Action::Cancel { id: id.clone(), attempt: n });
             }
@@ -391,9 +372,9 @@
 
     fn give_up(&mut self, id: &RequestId) {
         let request = &self.requests[id];
-        let safe = self.class(&request.ask).effect == Effect::Safe;
+        let safe = request.class().effect == Effect::Safe;
         let time_left = request.expires > self.now + TICK;
-        if !safe && request.phase == Phase::Reading && time_left && self.settings.may_cancel {
+        if !safe && request.phase == Phase::Reading && time_left && request.settings.may_cancel {
             // With a read out even a refusal may be held untrue: call it off, answer when it has ended.
             return self.recall(id);
         }
@@ -419,7 +400,10 @@
             let request = &self.requests[&id];
             match request.phase {
                 _ if request.expires <= soon => self.give_up(&id),
-                Phase::Held(_, at) if at + self.settings.let_go <= soon => self.set_phase(&id, Phase::Queued),
+                Phase::Queued | Phase::Held(..) if request.is_spent(self.now) => self.give_up(&id),
+                Phase::Held(_, at) if at + request.settings.let_go <= soon => {
+                    self.set_phase(&id, Phase::Queued)
+                }
                 Phase::Reading | Phase::Writing(_) => self.recall_overdue(&id, &mut well),
                 _ => {}
             }
@@ -445,12 +429,11 @@
     fn recall_overdue(&mut self, id: &RequestId, well: &mut [Vec<ServerId>; 2]) {
         let request = &self.requests[id];
         let attempt @ Attempt { server, reading, .. } = request.attempts[request.attempts.len() - 1];
-        let harmless =
-            if reading { self.called_off < 1.0 } else { self.class(&request.ask).effect == Effect::Safe };
-        let left = request.attempts.len() + usize::from(reading) < self.settings.max_attempts as usize;
+        let harmless = if reading { self.called_off < 1.0 } else { request.class().effect == Effect::Safe };
+        let left = request.attempts.len() + usize::from(reading) < request.settings.max_attempts as usize;
         let wait_s = self.wait_s(server) * f64::from(u8::from(reading));
         let late = OVERDUE_S.max(OVERDUE[usize::from(reading)] * (attempt.expected_s + wait_s));
-        let may = attempt.out && !attempt.cancelled && harmless && self.settings.may_cancel;
+        let may = attempt.out && !attempt.cancelled && harmless && request.settings.may_cancel;
         let overdue = seconds(self.now - attempt.sent) >= late && left;
         let silent = self.is_silent(server);
         // One that answers others has a queue: that is worth leaving only for a server without.
@@ -470,9 +453,10 @@
         let Some(request) = found.filter(|r| r.phase != Phase::Ended) else { return };
         let Some(attempt) = request.attempts.get(n as usize).filter(|a| a.out) else { return };
         request.phase = Phase::Streaming(self.now);
-        let (server, took) = (attempt.server, seconds(self.now - attempt.sent));
+        let (server, sent) = (attempt.server, attempt.sent);
+        let took = seconds(self.now - sent);
         self.first_token_s += MEAN_STEP * (took - self.first_token_s);
-        self.hear(server);
+        self.hear(server, sent);
     }
 
     fn take_outcome(&mut self, outcome: &Outcome) {
@@ -483,7 +467,8 @@
         let unread = attempt.reading && matches!(status, Status::Cancelled | Status::TimedOut);
         use Status::{Full, Moot, NoConnection, Read};
         attempt.may_have_run &= !matches!(status, Full | Moot | NoConnection | Read);
-        let (server, behind_s, took) = (attempt.server, attempt.behind_s, seconds(self.now - attempt.sent));
+        let (server, behind_s, sent) = (attempt.server, attempt.behind_s, attempt.sent);
+        let took = seconds(self.now - sent);
         let unheard = status == NoConnection && took > UNHEARD_S;
         let refusals = if unheard { REFUSED_MOST } else { u32::from(status == NoConnection) };
         let (phase, session_lot) = (request.phase, request.session_lot);
@@ -495,11 +480,12 @@
             Full if note < 1.0 => Some(READ_AHEAD_S),
             _ => unread.then_some(took),
         };
-        let waited = load.queued_kilotokens.map(|k| k * self.slope()).or(seen);
+        let slope = (self.fit.predict(1.0) - self.fit.weights()[0]).max(0.001);
+        let waited = load.queued_kilotokens.map(|k| k * slope).or(seen);
         let reader = self.servers.get(&server).filter(|s| s.role == Role::Read);
         if let (Some(reader), Some(waited)) = (reader, waited) {
             let (near, before) = (self.alike(reader), self.wait_s(server));
-            self.waits.insert(near, (self.now, before + WAIT_STEP * (waited - before)));
+            self.waits.insert(near, Fading::seen(before + WAIT_STEP * (waited - before), self.now));
         }
         match status {
             Status::Read | Status::Served => {
@@ -508,15 +494,17 @@
                 if status == Status::Read || phase == Phase::Writing(None) {
                     self.fit.learn(self.now, uncached, took);
                 }
-                self.hear(server);
+                self.hear(server, sent);
             }
             Status::TimedOut if finished => {}
             Status::Error | Status::Reset | Status::NoConnection | Status::TimedOut => {
                 self.kept.remove(&(session_lot, server));
                 self.fail_server(server, refusals);
-                if let (Status::Error, Some(server)) = (status, self.servers.get_mut(&server)) {
-                    let share = server.error_share(self.now);
-                    server.errors = (self.now, share + ERROR_STEP * (1.0 - share));
+                if status != Status::Error {
+                    self.take_break(server);
+                } else if let Some(server) = self.servers.get_mut(&server) {
+                    let share = server.errors.left(self.now, AGE_S);
+                    server.errors = Fading::seen(share + ERROR_STEP * (1.0 - share), self.now);
                 }
             }
             Status::Full if note < 1.0 => self.fail_server(server, 0),
@@ -540,10 +528,7 @@
             _ => Phase::Queued,
         };
         self.set_phase(id, next);
-        let request = &self.requests[id];
-        let ran = request.attempts.iter().any(|a| a.may_have_run);
-        let spent = request.attempts.len() >= self.settings.max_attempts as usize;
-        if spent || ran && self.class(&request.ask).effect == Effect::Unsafe {
+        if self.requests[id].is_spent(self.now) {
             self.give_up(id);
         }
     }
@@ -574,7 +559,6 @@
             }
             known.entry = entry.clone();
         }
-        self.writers_listed = self.listed(false).count() as f64;
         let all = |is| self.servers.values().filter(|s| s.entry.condition == is).count() as f64;
         if all(Condition::Draining) > 0.0 && all(Condition::Ready) <= self.peers.values().sum() {
             return; // A release: as many as before, or each would count beside its replacement.
@@ -597,11 +581,21 @@
         }
     }
 
-    fn hear(&mut self, id: ServerId) {
+    fn take_break(&mut self, id: ServerId) {
+        let broke = Some(Break { at: self.now, answered: None });
+        self.servers.entry(id).and_modify(|server| server.broke = broke);
+    }
+
+    /// A server's answer to what was sent then: if it broke since, its process has lived through that.
+    fn hear(&mut self, id: ServerId, sent: Micros) {
         if let Some(server) = self.servers.get_mut(&id) {
+            server.broke = server.broke.take().filter(|broke| sent > broke.at);
+            if let Some(broke) = &mut server.broke {
+                broke.answered.get_or_insert(self.now);
+            }
             (server.bar, server.heard) = (Bar::default(), self.now);
             self.zones.remove(&server.entry.zone);
-            server.errors = (self.now, SUCCESS_LEAVES * server.error_share(self.now));
+            server.errors = Fading::seen(SUCCESS_LEAVES * server.errors.left(self.now, AGE_S), self.now);
         }
     }
 
@@ -654,7 +648,7 @@
             let out = self.out(*id);
             let silent = out.oldest_s > OVERDUE_S && out.oldest_ratio > OVERDUE[1] && self.is_silent(*id);
             let trial = s.bar.fails > 0 && out.attempts > 0;
-            self.now >= s.bar.until && !silent && !trial && s.error_share(self.now) < ERROR_MOST
+            self.now >= s.bar.until && !silent && !trial && s.errors.left(self.now, AGE_S) < ERROR_MOST
         };
         if open.iter().any(well) {
             open.retain(well);
@@ -694,12 +688,19 @@
     /// Whether it is of the part of its zone's traffic, a reader's of its home's, that one just started gets.
     fn cold_lot(&self, request: &Request, id: ServerId, home: Option<ServerId>, used: f64) -> bool {
         let server = &self.servers[&id];
-        let warmth = self.warmth(server);
-        if warmth >= 1.0 || server.role == Role::Read && home != Some(id) {
+        let (reading, warmth) = (server.role == Role::Read, self.warmth(server));
+        if warmth >= 1.0 || reading && home != Some(id) {
             return warmth >= 1.0;
         }
-        let near = (server.role == Role::Read, server.entry.zone);
-        let peers = self.peers.get(&near).copied().unwrap_or(self.servers.len() as f64);
+        let from = match request.phase {
+            Phase::Held(reader, _) => self.servers[&reader].entry.zone,
+            _ => self.settings.zone,
+        };
+        // All that comes may come from elsewhere, the servers there being gone: all zones' servers count.
+        let near = self.peers.iter().filter(|((r, zone), _)| {
+            *r == reading && (*zone == server.entry.zone || from != server.entry.zone)
+        });
+        let peers = near.map(|(_, n)| *n).sum::<f64>().max(1.0);
         let asked = if home.is_some() { self.home_part(id).max(1.0 / peers) } else { 1.0 };
         let part = used * warmth * self.settings.overload_factor / peers / asked;
         draw(mix(request.session_lot, server.entry.started_at ^ u64::from(id.0))) < part
@@ -715,7 +716,9 @@
 
     /// The part of its capacity that a server has at its age, if it is as slow to start as any.
     fn warmth(&self, server: &Server) -> f64 {
-        let (settings, started) = (&self.settings, server.entry.started_at);
+        let told = |broke: &&Break| broke.answered.is_some_and(|at| self.now < at + RESTART_TOLD);
+        let suspected = server.broke.as_ref().filter(told).map_or(0, |broke| broke.at);
+        let (settings, started) = (&self.settings, server.entry.started_at.max(suspected));
         let age = seconds(self.now.saturating_sub(started)) / seconds(settings.warm_after.max(1));
         if started == 0 { 1.0 } else { settings.cold_from + (1.0 - settings.cold_from) * age.min(1.0) }
     }
@@ -754,16 +757,10 @@
         (self.prefixes.iter().map(part).sum::<f64>() - 1.0 + unknown) / PREFIXES as f64
     }
 
-    /// Seconds of reading for a thousand tokens.
-    fn slope(&self) -> f64 {
-        (self.fit.predict(1.0) - self.fit.weights()[0]).max(0.001)
-    }
-
     /// Seconds that a read is likely to wait for other routers', by how it lately went at those alike.
     fn wait_s(&self, id: ServerId) -> f64 {
-        let left = |at| (-seconds(self.now - at) / WAIT_FADE_S).exp();
         let waits = self.servers.get(&id).and_then(|s| self.waits.get(&self.alike(s)));
-        waits.map_or(0.0, |(at, wait_s)| wait_s * left(*at))
+        waits.map_or(0.0, |wait_s| wait_s.left(self.now, WAIT_FADE_S))
     }
 
     /// The servers of which one tells: its zone's that are as cold, for those get their part by lot.
@@ -897,8 +894,9 @@
         let Read { behind_s, work_s, .. } = read;
         let to =
             Attempt { server, sent, reading, expected_s, behind_s, work_s, out, cancelled, may_have_run };
+        let repeat_before = request.repeat_before().filter(|_| !reading);
         request.attempts.push(to);
-        self.actions.push(Action::Send { id: id.clone(), server });
+        self.actions.push(Action::Send { id: id.clone(), server, repeat_before });
         self.count_out();
     }
 
@@ -906,7 +904,7 @@
 
     /// Tokens that a request holds at its writer: prompt and what it has grown toward its likely end.
     fn stream_tokens(&self, request: &Request) -> f64 {
-        let token = self.class(&request.ask).token_aim.max(1) as f64;
+        let token = request.class().token_aim.max(1) as f64;
         let half = request.ask.max_output_tokens / 2.0;
         let end = request.ask.hint.map_or(half, |hint| hint as f64 / token);
         let grown = match request.phase {
@@ -925,7 +923,7 @@
     /// Share of each writer's memory taken to be held: as reported, else by what this router has and had.
     fn shares(&self, writers: &[ServerId]) -> BTreeMap<ServerId, f64> {
         let [for_s, tokens] = self.under_way[1];
-        let mean = tokens / for_s.max(1e-9) / self.writers_listed.max(1.0);
+        let mean = tokens / for_s.max(1e-9) / self.listed(false).count().max(1) as f64;
         let of_all = self.of_all();
         let known = |id: &ServerId| {
             let (server, out) = (&self.servers[id], self.out(*id));
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -159,7 +159,7 @@
     reload: Option<config::Reload>,
     listener: TcpListener,
     operation: Operation,
-    stop: impl Future<Output = std::io::Result<()>>,
+    stop: impl Future<Output = ()>,
 ) -> Result<(), Box<dyn Error>> {
     let bounds = Bounds::from(config.resources);
     let pool = Pool::new(PoolLimits {
@@ -182,9 +182,6 @@
     let tries = engines.tries();
     let address = reload.as_ref().map_or_else(|| fixed(&config.discovery), config::Reload::discovery);
     let roster = Watch::new(address, config.names.clone(), config.known, asking);
-    let classes = config.settings.classes.clone();
-    let longest = classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    let longest = Duration::from_micros(longest);
     let chat = drivers.start("chat", config.settings, tuning(&bounds), engines, roster)?;
     let Operation { management, shared } = operation;
     tokio::task::spawn_local(follow(config::Orders::new(shared.clone()), chat.clone()));
@@ -192,6 +189,7 @@
         tokio::task::spawn_local(follow(reload, chat.clone()));
     }
     let models = inference.as_ref().map(|file| drivers.models(file)).transpose()?;
+    let gateways: Vec<_> = models.iter().flatten().map(|m| m.gateway.clone()).chain([chat.clone()]).collect();
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(RETIRE_EVERY).await;
@@ -228,7 +226,7 @@
     }
     let bodies = Rc::new(Bodies::new(bounds.reading_bytes));
     let fronts = Fronts {
-        platform: Platform::new(chat.clone(), config.names, classes, bodies.clone()),
+        platform: Platform::new(chat.clone(), config.names, bodies.clone()),
         inference: models.map(|models| Inference::new(models, bodies, stamp)),
         phase: phases.clone(),
     };
@@ -247,19 +245,21 @@
     let served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, phases));
     tokio::select! {
         Some(how) = drivers_end.recv() => return Err(format!("a driver ended: {how}").into()),
-        asked = stop => asked?,
+        () = stop => {}
     }
     // Where a new version takes clients already on the same socket, none must come here any more.
     let superseded = shared.is_superseded();
     log::info!("stopping open={} superseded={superseded}", chat.open());
-    phase.send_replace(if superseded { Phase::Closing } else { Phase::Leaving });
-    let counted = longest.min(LONGEST_COUNTED);
+    phase.send_replace(if superseded { Phase::Superseded } else { Phase::Leaving });
+    let longest = chat.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let counted = Duration::from_micros(longest).min(LONGEST_COUNTED);
     let (asked, end) = (Instant::now(), counted + KILLED_AFTER);
     let (first, last) = (end.mul_f64(HAND_OVER.0), end.mul_f64(HAND_OVER.1));
-    chat.leave(Departure {
+    let departure = Departure {
         answers_by: asked + end - ANSWERED_BEFORE,
         hand_over: config.resume.then_some((asked + first, last - first)),
-    });
+    };
+    gateways.iter().for_each(|gateway| gateway.leave(departure));
     if !superseded {
         let leaving = LEAVING + counted.mul_f64(LEAVING_PART);
         tokio::time::sleep(if config.resume { leaving } else { leaving.min(LEAVING_WHOLE) }).await;
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -15,14 +15,13 @@
 pub struct Platform {
     gateway: Gateway<HttpEngines>,
     names: Names,
-    classes: Vec<Class>,
     bodies: Rc<Bodies>,
 }
 
 impl Platform {
-    /// A front of the gateway; the classes give the deadline of a request that tells none.
-    pub fn new(gateway: Gateway<HttpEngines>, names: Names, classes: Vec<Class>, bodies: Rc<Bodies>) -> Self {
-        Self { gateway, names, classes, bodies }
+    /// A front of the gateway, with the names that clients call classes and tenants by.
+    pub fn new(gateway: Gateway<HttpEngines>, names: Names, bodies: Rc<Bodies>) -> Self {
+        Self { gateway, names, bodies }
     }
 
     pub(super) fn can_serve(&self) -> bool {
@@ -63,7 +62,8 @@
         let Whole { came, path, headers, body } = self.bodies.read(request).await?;
         let wrong = |message: &str| reply::error(StatusCode::BAD_REQUEST, message);
         check_chat(&body).map_err(wrong)?;
-        let told = arrival(&headers, &self.names, &self.classes, body.len());
+        // A request that tells no deadline has its class's, by the settings as they are now.
+        let told = arrival(&headers, &self.names, &self.gateway.settings().classes, body.len());
         let mut arrival = told.map_err(|message| wrong(&message))?;
         arrival.expires_in = arrival.expires_in.saturating_sub(came.elapsed().as_micros() as Micros);
         let size = body.len();
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -24,6 +24,11 @@
         self.base + self.start.elapsed().as_micros() as Micros
     }
 
+    /// That time on the runtime's clock; now, if it has passed.
+    pub fn instant(&self, then: Micros) -> Instant {
+        Instant::now() + self.until(then)
+    }
+
     /// How long from now until then.
     pub fn until(&self, then: Micros) -> Duration {
         Duration::from_micros(then.saturating_sub(self.now()))
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -75,6 +75,9 @@
     Leaving(Departure),
 }
 
+/// The settings as they are now: those of a request stay as they were when it came.
+type Current = Rc<RefCell<Rc<Settings>>>;
+
 /// Hands requests to a running driver.
 pub struct Gateway<E: Engines> {
     inbox: mpsc::UnboundedSender<Input<E>>,
@@ -84,6 +87,7 @@
     callers: Rc<Cell<u64>>,
     leaving: Leaving,
     counter: Rc<Counter>,
+    settings: Current,
 }
 
 impl<E: Engines> Clone for Gateway<E> {
@@ -96,6 +100,7 @@
             callers: self.callers.clone(),
             leaving: self.leaving.clone(),
             counter: self.counter.clone(),
+            settings: self.settings.clone(),
         }
     }
 }
@@ -161,6 +166,11 @@
         Figures { handled: self.counter.handled(), open: self.open(), listed, avoided }
     }
 
+    /// The settings that hold for what comes now.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
     /// How many requests are open.
     pub fn open(&self) -> usize {
         self.admission.borrow().open()
@@ -185,8 +195,8 @@
 struct Open<E: Engines> {
     job: Rc<E::Job>,
     class: usize,
-    /// Whether a run that may have begun can be repeated without harm.
-    harmless: bool,
+    /// The settings under which it came.
+    settings: Rc<Settings>,
     expires: Micros,
     attempts: Vec<Attempt>,
     /// How many attempts are out.
@@ -207,6 +217,11 @@
 }
 
 impl<E: Engines> Open<E> {
+    /// Whether a run that may have begun can be repeated without harm.
+    fn is_harmless(&self) -> bool {
+        self.settings.classes.get(self.class).is_some_and(|class| class.effect == Effect::Safe)
+    }
+
     /// Marks an attempt as over; gives its server if it was out.
     fn over(&mut self, attempt: u32) -> Option<ServerId> {
         let attempt = self.attempts.get_mut(attempt as usize)?;
@@ -223,7 +238,7 @@
     clock: Clock,
     engines: Rc<E>,
     roster: Rc<Roster>,
-    settings: Settings,
+    settings: Current,
     tuning: Tuning,
     route: Route,
     book: Book<E>,
@@ -254,13 +269,14 @@
     let admission = Rc::new(RefCell::new(Admission::new(tuning.limits)));
     let engines = Rc::new(engines);
     let counter = Rc::new(Counter::new(settings.classes.len()));
+    let current: Current = Rc::new(RefCell::new(Rc::new(settings.clone())));
     let mut driver = Driver {
         clock: Clock::default(),
-        route: Route::new(Router::new(settings.clone(), seed)?),
+        route: Route::new(Router::new(settings, seed)?),
         book: Book::new(name, engines.clone(), roster.clone(), tuning.release_patience, counter.clone()),
         engines,
         roster: roster.clone(),
-        settings,
+        settings: current.clone(),
         tuning,
         admission: admission.clone(),
         inbox,
@@ -273,7 +289,8 @@
     };
     let leaving = driver.leaving.clone();
     let callers = Rc::default();
-    let gateway = Gateway { inbox: sender, admission, roster, roles, callers, leaving, counter };
+    let settings = current;
+    let gateway = Gateway { inbox: sender, admission, roster, roles, callers, leaving, counter, settings };
     let task = tokio::task::spawn_local(async move { driver.run().await });
     Ok((gateway, task))
 }
@@ -333,12 +350,10 @@
     }
 
     fn take_request(&mut self, taken: Taken<E>) {
-        let class = self.settings.classes.get(taken.arrival.class);
-        let harmless = class.is_some_and(|class| class.effect == Effect::Safe);
         let open = Open {
             job: taken.job,
             class: taken.arrival.class,
-            harmless,
+            settings: self.settings.borrow().clone(),
             expires: self.clock.now() + taken.arrival.expires_in,
             attempts: Vec::new(),
             out: 0,
@@ -469,7 +484,7 @@
     fn take_change(&mut self, change: Change) {
         match change.news {
             News::Settings(settings) => {
-                self.settings = settings.clone();
+                self.settings.replace(Rc::new(settings.clone()));
                 self.route.tell(Event::Settings(settings));
             }
             News::Roster { form, engines } => {
@@ -507,7 +522,7 @@
 
     fn carry_out(&mut self, now: Micros, action: Action) {
         match action {
-            Action::Send { id, server } => self.send(id, server),
+            Action::Send { id, server, repeat_before } => self.send(id, server, repeat_before),
             Action::Probe { server } => self.probe(server),
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
             Action::Release { id } if self.releases.contains(&id) => {}
@@ -531,7 +546,7 @@
         let keep = match &answer {
             Answer::Whole(_) | Answer::Faulty(_) => true,
             // What may have run with harm must not run again under its key.
-            Answer::Failed { .. } => !open.harmless,
+            Answer::Failed { .. } => !open.is_harmless(),
             Answer::Events(_) | Answer::Refused { .. } => false,
         };
         log::debug!("answer request={} {answer:?} attempts={}", id.0, open.attempts.len());
@@ -540,7 +555,7 @@
         self.touched.push(id);
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId) {
+    fn send(&mut self, id: RequestId, server: ServerId, repeat_before: Option<Micros>) {
         if let Some(at) = self.releases.iter().position(|other| *other == id) {
             // What is held goes before the attempt: it may not come up, and the time of what is held runs on.
             let id = self.releases.remove(at);
@@ -550,16 +565,21 @@
         let attempt = open.attempts.len() as u32;
         log::debug!("send request={} n={attempt} server={:08x}", id.0, server.0);
         let listed = self.roster.entry(server);
-        let role = listed.as_ref().and_then(|l| self.settings.roles.get(l.entry.kind));
+        let role = listed.as_ref().and_then(|l| open.settings.roles.get(l.entry.kind));
         let reading = role == Some(&Role::Read);
-        let allowed = !open.answered && attempt < self.settings.max_attempts;
+        let allowed = !open.answered && attempt < open.settings.max_attempts;
         let task = listed.filter(|_| allowed).map(|listed| {
             let call = Call {
                 endpoint: listed.endpoint,
                 id: id.clone(),
                 job: open.job.clone(),
-                patience: self.clock.until(open.expires),
-                gate: Gate { roster: self.roster.clone(), server, wanted: open.wanted.clone() },
+                deadline: self.clock.instant(open.expires),
+                gate: Gate {
+                    roster: self.roster.clone(),
+                    server,
+                    wanted: open.wanted.clone(),
+                    repeat_before: repeat_before.map(|until| self.clock.instant(until)),
+                },
             };
             let first = (open.releasing.take(), self.tuning.release_first);
             send::start(&self.engines, call, attempt, first, &self.sender)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,7 +30,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use tokio::time::Instant;
 
 /// How far an attempt had come when it was lost. Only the first three prove that it never ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,8 +117,8 @@
     pub id: RequestId,
     /// What to send, in the engines' own terms.
     pub job: Rc<J>,
-    /// How long the gateway will wait.
-    pub patience: Duration,
+    /// Until when the gateway will wait.
+    pub deadline: Instant,
     /// Asked again right before the first byte is written.
     pub gate: Gate,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Fifth stage: a running answer on its way to its client, piece by piece and unchanged.
 
 use super::{AttemptError, EventStream, Progress};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
@@ -42,6 +42,8 @@
 /// How often a running answer is looked at while no event comes: an engine that hangs sends none, and the
 /// answer would be held until the process is killed.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Most bytes that are read of an answer that is due to be handed over, to see whether its engine has finished.
+const REST_BYTES: usize = 64 << 10;
 
 impl Departure {
     /// When an answer that began and was last heard of then is ended, if the gateway does not wait for its end.
@@ -96,6 +98,33 @@
         Poll::Ready(Some(Err(AttemptError::new(Progress::Written, "ended with the gateway"))))
     }
 
+    /// Whether its client asks another gateway for the rest: only then it is cut while events come.
+    fn may_move(&self) -> bool {
+        self.leaving.get().is_some_and(|departure| departure.hand_over.is_some())
+    }
+
+    /// Passes the rest on at once if the engine has finished, though its client reads slowly; else that ends here.
+    fn finish_or_hand_over(
+        &mut self,
+        piece: &[u8],
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, AttemptError>>> {
+        let mut rest = BytesMut::from(piece);
+        while let Some(events) = &mut self.events
+            && rest.len() <= REST_BYTES
+        {
+            match events.poll_event(context) {
+                Poll::Ready(Some(Ok(piece))) => rest.extend_from_slice(&piece),
+                Poll::Ready(None) => {
+                    self.finish(End::Whole);
+                    return Poll::Ready(Some(Ok(rest.freeze())));
+                }
+                Poll::Ready(Some(Err(_))) | Poll::Pending => break,
+            }
+        }
+        self.hand_over()
+    }
+
     /// The next piece; `None` once the answer is whole, an error if it never will be.
     pub fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, AttemptError>>> {
         if let Some(first) = self.first.take() {
@@ -106,10 +135,9 @@
             let now = Instant::now();
             let due = self.leaving.get().and_then(|departure| departure.due(self.begun, self.heard));
             match events.poll_event(context) {
-                // What has come is passed on first: the engine may have finished.
                 Poll::Pending if due.is_some_and(|due| due <= now) => return self.hand_over(),
-                Poll::Ready(Some(Ok(_))) if due.is_some_and(|due| due + LOOK_EVERY <= now) => {
-                    return self.hand_over();
+                Poll::Ready(Some(Ok(piece))) if due.is_some_and(|due| due <= now) && self.may_move() => {
+                    return self.finish_or_hand_over(&piece, context);
                 }
                 Poll::Ready(Some(Ok(piece))) => {
                     self.heard = now;
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -6,6 +6,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// An engine as it is listed.
 #[derive(Clone, Debug, PartialEq)]
@@ -154,6 +155,8 @@
     pub(super) server: ServerId,
     /// Whether somebody still waits for the request's answer.
     pub(super) wanted: Rc<Cell<bool>>,
+    /// When the time is over in which a repeat is dropped, if this is one that depends on that.
+    pub(super) repeat_before: Option<Instant>,
 }
 
 impl Gate {
@@ -162,6 +165,9 @@
         if !self.wanted.get() {
             return Some("its client has gone");
         }
+        if self.repeat_before.is_some_and(|end| end <= Instant::now()) {
+            return Some("too late for a repeat");
+        }
         (!self.roster.is_ready(self.server)).then_some("told to drain while connecting")
     }
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -47,7 +47,7 @@
 ) -> AbortHandle {
     let (engines, inbox) = (engines.clone(), inbox.clone());
     let task = tokio::task::spawn_local(async move {
-        let (id, patience) = (call.id.clone(), call.patience);
+        let (id, deadline) = (call.id.clone(), call.deadline);
         let late = |_| Err(AttemptError::new(Progress::TimedOut, "no answer in time"));
         let attempt_made = async {
             if let Some(mut releasing) = releasing
@@ -57,7 +57,7 @@
             }
             begin(&*engines, call).await
         };
-        let result = tokio::time::timeout(patience, attempt_made).await.unwrap_or_else(late);
+        let result = tokio::time::timeout_at(deadline, attempt_made).await.unwrap_or_else(late);
         // A driver that has stopped needs no word of it.
         let _ = inbox.send(Input::Begun { id, attempt, result });
     });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -318,6 +318,8 @@
         id: RequestId,
         /// Where to.
         server: ServerId,
+        /// If it is a repeat that is harmless only for a time: when it must have been written.
+        repeat_before: Option<Micros>,
     },
     /// Ask a server for its load, at a price.
     Probe {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,5 +38,6 @@
 pub mod interface;
 pub mod log;
 pub mod net;
+pub mod numeric;
 
 pub use choice::Router;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -224,9 +224,12 @@
 
     /// Whether an answer of that source counts; if so those before it have had their time.
     fn accept(&mut self, number: u64) -> bool {
-        let before = self.sources.iter().take_while(|(older, _)| *older < number).count();
+        // One that was given up may have left a list: nothing follows from that.
+        let Some(before) = self.sources.iter().position(|(source, _)| *source == number) else {
+            return false;
+        };
         self.sources.drain(..before).for_each(|(_, task)| task.abort());
-        self.sources.first().is_some_and(|(oldest, _)| *oldest == number)
+        true
     }
 }
 
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use tokio::time::Instant;
 
 /// Most bytes of an answer that says no more than a status does.
 const SHORT_BYTES: usize = 64 << 10;
@@ -87,7 +88,8 @@
     let lost = |e: hyper::header::InvalidHeaderValue| AttemptError::new(Progress::Unconnected, e);
     let headers = request.headers_mut();
     headers.insert("req-id", call.id.0.parse().map_err(lost)?);
-    let wait = format!("{}m", call.patience.as_millis().max(1));
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let wait = format!("{}m", left.as_millis().max(1));
     headers.insert("req-deadline", wait.parse().map_err(lost)?);
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(key) = &job.idempotency_key {
@@ -156,12 +158,12 @@
         let (pool, names, most) = (self.pool.clone(), self.load.clone(), self.answer_bytes);
         let tries = self.tries.clone();
         async move {
-            let request = call_request(&call)?;
             let mut channel = pool.take(&call.endpoint).await?;
             if let Some(cause) = call.gate.closed() {
                 pool.put(call.endpoint, channel);
                 return Err(AttemptError::new(Progress::Withdrawn, cause));
             }
+            let request = call_request(&call)?;
             let answer = channel.send(request, call.job.body.len(), Some(tries)).await?;
             let (head, body) = answer.into_parts();
             let load = head.headers.get("srv-load").map_or(Load::default(), |l| names.read(l.as_bytes()));
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -45,12 +45,19 @@
     Leaving,
     /// Connections close after the answer in hand.
     Closing,
+    /// The same where another process takes clients on the same socket: what waits there is left to it.
+    Superseded,
 }
 
 impl Phase {
     /// Whether the process was asked to stop.
     pub fn is_stop(self) -> bool {
-        matches!(self, Self::Leaving | Self::Closing)
+        matches!(self, Self::Leaving | Self::Closing | Self::Superseded)
+    }
+
+    /// Whether new connections are no longer taken.
+    fn is_closed(self) -> bool {
+        matches!(self, Self::Closing | Self::Superseded)
     }
 }
 
@@ -110,33 +117,37 @@
     let clients = Clients::new(limits);
     let mut look = tokio::time::interval(LOOK_EVERY);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let phases = phase.clone();
+    let start = async |stream| {
+        let (seat, over) = match clients.take(stream).await {
+            Place::Served(seat) => (seat, false),
+            Place::Turned(seat) => (seat, true),
+            Place::None => return log::debug!("no room for a connection"),
+        };
+        tokio::task::spawn_local(connection(seat, front.clone(), over, limits, phases.clone()));
+    };
     loop {
-        let closing = phase.clone();
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+            _ = phase.wait_for(|phase| phase.is_closed()) => break,
             _ = look.tick() => {
                 clients.close_overdue();
                 continue;
             }
         };
-        let (place, front) = match accepted {
-            Ok((stream, _)) => (clients.take(stream).await, front.clone()),
+        match accepted {
+            Ok((stream, _)) => start(stream).await,
             Err(error) => {
                 log::warn!("accept failed {error}");
                 tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        let (seat, over) = match place {
-            Place::Served(seat) => (seat, false),
-            Place::Turned(seat) => (seat, true),
-            Place::None => {
-                log::debug!("no room for a connection");
-                continue;
             }
-        };
-        tokio::task::spawn_local(connection(seat, front, over, limits, closing));
+        }
+    }
+    if *phase.borrow() == Phase::Closing {
+        // The system has accepted these; closed with the listener they would be reset, and their requests lost.
+        while let Some(stream) = waiting(&listener) {
+            start(stream).await;
+        }
     }
     drop(listener);
     while clients.open() > 0 {
@@ -145,6 +156,14 @@
     }
 }
 
+/// A connection that the system has accepted and nobody has taken yet. The system is asked itself: the runtime may not
+/// have been told of it so far.
+fn waiting(listener: &TcpListener) -> Option<TcpStream> {
+    let (socket, _) = SockRef::from(listener).accept().ok()?;
+    socket.set_nonblocking(true).ok()?;
+    TcpStream::from_std(socket.into()).ok()
+}
+
 async fn connection<F: Front>(
     seat: Seat,
     front: Rc<F>,
@@ -227,7 +246,7 @@
 /// request that was on its way would meet a reset.
 async fn sent_away(phase: &mut watch::Receiver<Phase>, standing: &Standing) {
     // Without a sender there is nobody to end what is served.
-    if phase.wait_for(|phase| matches!(phase, Phase::Away | Phase::Closing)).await.is_err() {
+    if phase.wait_for(|phase| *phase == Phase::Away || phase.is_closed()).await.is_err() {
         return std::future::pending().await;
     }
     while !standing.is_answering() && standing.has_news() {
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -14,13 +14,14 @@
     Ok(asked)
 }
 
-/// Waits until the process is asked to stop.
-pub async fn stop_asked() -> io::Result<()> {
+/// Waits until the process is asked to stop, from the call on: a signal that comes before the wait counts.
+pub fn stop_asked() -> io::Result<impl Future<Output = ()>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
+    Ok(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    })
 }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -154,3 +154,109 @@
     // What is kept from it altogether stands idle.
     assert!(plays.iter().map(Vec::len).sum::<usize>() > 0);
 }
+
+/// Five writers that may just be one of a zone's, and what is to be written there.
+fn writers_of_a_zone() -> Harness {
+    let settings = Settings { warm_after: 60 * SECOND, cold_from: 0.25, overload_factor: 1.5, ..settings() };
+    Harness::new(settings, &[1, 2, 11, 12, 13, 14, 15])
+}
+
+/// Asks, has the prompt read, and gives the writer that it goes to.
+fn written_at(h: &mut Harness, name: &str) -> Option<u32> {
+    h.ask(Arrival { session: Some(name.into()), ..arrival(name) });
+    let writer = sends(&h.read(name, 0), name).first().copied();
+    h.now += 10_000;
+    writer
+}
+
+/// How many of eighty requests, each served at once, go to a writer.
+fn part_at(h: &mut Harness, writer: u32, of: &str) -> usize {
+    let mut served_there = |n: usize| {
+        let name = format!("{of}-{n}");
+        let at = written_at(h, &name);
+        h.first(&name, 1);
+        h.outcome(&name, 1, Status::Served, 0.0, Load::default());
+        at == Some(writer)
+    };
+    (0..80).filter(|n| served_there(*n)).count()
+}
+
+/// Sends requests until one goes to a writer, and gives its name; the others are served.
+fn first_at(h: &mut Harness, writer: u32, of: &str) -> String {
+    for n in 0..200 {
+        let name = format!("{of}-{n}");
+        if written_at(h, &name) == Some(writer) {
+            return name;
+        }
+        h.first(&name, 1);
+        h.outcome(&name, 1, Status::Served, 0.0, Load::default());
+    }
+    panic!("nothing goes to {writer}");
+}
+
+// Machines that had vanished came back cold, which the list told seconds later: each gateway sent its usual part as soon
+// as one answered, and one after the other fell over for good.
+#[rstest]
+#[case::no_connection(Status::NoConnection)]
+#[case::reset(Status::Reset)]
+fn server_that_answers_after_a_break_may_have_just_started(#[case] lost: Status) {
+    let mut h = writers_of_a_zone();
+    let usual = part_at(&mut h, 11, "usual");
+    assert!(usual >= 10, "{usual}");
+    let broken = first_at(&mut h, 11, "broken");
+    h.now += 250_000;
+    h.ended(&broken, 1, lost);
+    h.wait(SECOND);
+    let trial = first_at(&mut h, 11, "trial");
+    h.first(&trial, 1);
+    h.outcome(&trial, 1, Status::Served, 0.0, Load::default());
+    let suspected = part_at(&mut h, 11, "suspected");
+    assert!(suspected <= usual / 2, "{suspected} of {usual}");
+    // By now the list would have told of a start.
+    h.wait(7 * SECOND);
+    let after = part_at(&mut h, 11, "after");
+    assert!(after >= 10, "{after}");
+}
+
+// One lost connection says nothing of a process that goes on to answer what it had before.
+#[test]
+fn server_that_answers_what_it_had_before_a_break_has_not_started_again() {
+    let mut h = writers_of_a_zone();
+    let names: Vec<_> = (0..10).map(|n| format!("open-{n}")).collect();
+    let at_11: Vec<_> = names.iter().filter(|name| written_at(&mut h, name) == Some(11)).collect();
+    let [before, broken, ..] = at_11[..] else { panic!("{at_11:?}") };
+    h.ended(broken, 1, Status::Reset);
+    for name in names.iter().filter(|name| *name != broken) {
+        h.first(name, 1);
+        h.outcome(name, 1, Status::Served, 0.0, Load::default());
+    }
+    assert_ne!(before, broken);
+    h.wait(SECOND);
+    let after = part_at(&mut h, 11, "after");
+    assert!(after >= 10, "{after}");
+}
+
+// All but one writer, of another zone and cold, had vanished: the zones' traffic came to it one on top of the other.
+#[test]
+fn cold_server_takes_less_from_other_zones_than_from_its_own() {
+    let sent = |zone: u32| {
+        let started_at = 100_000_000 - SECOND;
+        let cold = Entry { started_at, ..zoned(11, 0) };
+        let other = |n: u32| {
+            let condition = if n.is_multiple_of(3) { Condition::Ready } else { Condition::Draining };
+            Entry { started_at, condition, ..zoned(n, n % 3) }
+        };
+        let others: Vec<_> = (12..18).map(other).collect();
+        let readers = [zoned(1, 0), zoned(2, 1), zoned(3, 2)];
+        let goes_there = |n: usize| {
+            let settings = Settings { zone, warm_after: 13 * SECOND, overload_factor: 2.5, ..settings() };
+            let mut h = Harness::new(settings, &[]);
+            h.roster([&readers[..], std::slice::from_ref(&cold), &others[..]].concat());
+            let name = format!("s-{n}");
+            written_at(&mut h, &name) == Some(11)
+        };
+        (0..600).filter(|n| goes_there(*n)).count()
+    };
+    let (own, other) = (sent(0), sent(1));
+    assert!(own > 0 && other * 2 < own, "{own} of its own, {other} of another zone");
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -43,6 +43,8 @@
     cut_off: Option<char>,
     /// How many writers' connections are still to fail to come up.
     unheard: Rc<Cell<usize>>,
+    /// How many writers' answers are still to be lost; no connection comes up for a while after that.
+    breaks: Rc<Cell<usize>>,
     /// Reads and releases in the order in which they came to an engine.
     order: Rc<RefCell<Vec<&'static str>>>,
     /// Which were probed, and the memory share that they tell.
@@ -75,6 +77,11 @@
             }
             fake.order.borrow_mut().push(if reader { "read" } else { "write" });
             fake.written.borrow_mut().push(call.endpoint.to_string());
+            if !reader && fake.breaks.get() > 0 {
+                fake.breaks.set(fake.breaks.get() - 1);
+                fake.connects.set(false);
+                return Err(AttemptError::new(Progress::Written, "reset"));
+            }
             let left = VecDeque::from([Bytes::from_static(b"a"), Bytes::from_static(b"b")]);
             let events = || Pieces { left, endless: fake.endless, hangs: fake.hangs };
             let reply = if reader { Reply::Read { cached_tokens: 0.0 } } else { Reply::Events(events()) };
@@ -223,6 +230,35 @@
     .await;
 }
 
+// Repeats are dropped for a time after the first run: decided on within that, one was written after it.
+#[tokio::test(start_paused = true)]
+async fn repeat_whose_connection_comes_up_after_its_time_is_not_written() {
+    local(async {
+        let fake = Fake { breaks: Rc::new(Cell::new(1)), ..Fake::default() };
+        fake.connects.set(true);
+        let settings = Settings {
+            roles: vec![Role::Read, Role::Write],
+            classes: vec![Class {
+                effect: Effect::Keyed { group: Group::All, window: 500_000 },
+                ..Class::default()
+            }],
+            ..Settings::default()
+        };
+        let (gateway, _) = start("test", settings, 1, fake.clone(), Tuning::default()).expect("lawful");
+        let all = vec![listed(1, 0, "r1", Condition::Ready), listed(11, 1, "w1", Condition::Ready)];
+        gateway.tell(change(RosterForm::Full, all)).expect("it runs");
+        let ticket = gateway.submit(submission("a")).expect("taken");
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(*fake.called.borrow(), ["r1", "w1", "w1"], "the second waits for its connection");
+        fake.connects.set(true);
+        fake.connected.notify_waiters();
+        let answer = ticket.answer().await;
+        assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+        assert_eq!(*fake.written.borrow(), ["r1", "w1"]);
+    })
+    .await;
+}
+
 // Where attempts may not be called off one that was still connecting was written for a client that had gone.
 #[rstest::rstest]
 #[tokio::test]
@@ -376,6 +412,27 @@
     .await;
 }
 
+// An engine had finished its answer, or wrote again, but the client read slowly: looked at only after the answer was due
+// to end, it was cut all the same, and its client lost what was there.
+#[rstest::rstest]
+#[case::finished_where_clients_ask_for_the_rest(Some(1_000))]
+#[case::events_still_come_where_they_do_not(None)]
+#[tokio::test(start_paused = true)]
+async fn answer_that_is_read_late_keeps_what_its_engine_wrote(#[case] hand_over_ms: Option<u64>) {
+    local(async {
+        let fake = Fake { connects: Rc::new(Cell::new(true)), ..Fake::default() };
+        let gateway = started(&fake);
+        let asked = tokio::time::Instant::now();
+        let after = |ms| asked + Duration::from_millis(ms);
+        let answer = gateway.submit(submission("a")).expect("taken").answer().await;
+        let hand_over = hand_over_ms.map(|from| (after(from), Duration::from_millis(100)));
+        gateway.leave(Departure { answers_by: after(2_000), hand_over });
+        tokio::time::sleep(Duration::from_millis(2_200)).await;
+        assert_eq!(pieces(answer).await.concat(), b"ab");
+    })
+    .await;
+}
+
 // What was open before the stop was still being worked on when the process was killed: its client got no
 // answer, and the states that it had read stayed where they were.
 #[tokio::test(start_paused = true)]
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -75,6 +75,8 @@
     pub model: &'static str,
     pub address: SocketAddr,
     pub mode: Rc<Cell<Mode>>,
+    /// Whether it takes releases without ever answering them.
+    pub mute_to_releases: Rc<Cell<bool>>,
     pub seen: Rc<RefCell<Vec<Seen>>>,
 }
 
@@ -83,10 +85,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (mode, seen) = (Rc::new(Cell::new(Mode::Well)), Rc::<RefCell<Vec<Seen>>>::default());
-        let engine = Self { uid, model, address, mode: mode.clone(), seen: seen.clone() };
+        let mute_to_releases = Rc::<Cell<bool>>::default();
+        let mute = mute_to_releases.clone();
+        let engine = Self { uid, model, address, mode: mode.clone(), mute_to_releases, seen: seen.clone() };
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(engine_connection(stream, model, mode.clone(), seen.clone()));
+                spawn_local(engine_connection(stream, model, mode.clone(), mute.clone(), seen.clone()));
             }
         });
         engine
@@ -107,10 +111,14 @@
     mut stream: TcpStream,
     model: &'static str,
     mode: Rc<Cell<Mode>>,
+    mute_to_releases: Rc<Cell<bool>>,
     seen: Rc<RefCell<Vec<Seen>>>,
 ) {
     while let Some(request) = message(&mut stream).await {
         seen.borrow_mut().push(request.clone());
+        if request.method == "DELETE" && mute_to_releases.get() {
+            return std::future::pending().await;
+        }
         let once = matches!(mode.get(), Mode::CutOnce | Mode::SaysOnce(_)) && request.method != "DELETE";
         let mode = if once { mode.replace(Mode::Well) } else { mode.get() };
         if let Mode::Slow(ms) = mode {
@@ -395,10 +403,7 @@
         let stop = Rc::new(Notify::new());
         let asked = stop.clone();
         let ended = spawn_local(async move {
-            let stop = async move {
-                asked.notified().await;
-                Ok(())
-            };
+            let stop = async move { asked.notified().await };
             meadowlug::daemon::run(config, inference, Some(reload), listener, operation, stop)
                 .await
                 .expect("a clean end");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -213,3 +213,52 @@
     }
     assert!(h.now - read_at <= 300_000, "held for {} ms", (h.now - read_at) / 1000);
 }
+
+// Held until its client left, a request whose repeats were no longer harmless could get no other answer than at once.
+#[test]
+fn keyed_request_past_its_window_is_failed_at_once() {
+    let mut h = Harness::new(keyed(Group::Zone, 1_000_000), &[1, 11]);
+    h.ask(unsafe_request("a"));
+    h.read("a", 0);
+    h.roster(vec![entry(1), Entry { condition: Condition::Draining, ..entry(11) }]);
+    h.now += 800_000;
+    let actions = h.ended("a", 1, Status::Reset);
+    assert!(!failed(&actions, "a"), "there is time for a repeat");
+    let actions = h.wait(300_000);
+    assert!(failed(&actions, "a") && !refused(&actions, "a"), "{actions:?}");
+}
+
+// Decided in time, a repeat was written after the window, once its connection had come up.
+#[test]
+fn repeat_of_a_keyed_request_is_told_by_when_it_must_be_written() {
+    let mut h = Harness::new(keyed(Group::All, 1_000_000), &[1, 11, 12]);
+    let written_by = |actions: &[Action]| {
+        let by = |action: &Action| match action {
+            Action::Send { repeat_before, .. } => Some(*repeat_before),
+            _ => None,
+        };
+        actions.iter().find_map(by).expect("it is sent")
+    };
+    assert_eq!(written_by(&h.ask(unsafe_request("a"))), None);
+    let first = h.read("a", 0);
+    let sent = h.now;
+    assert_eq!(written_by(&first), None);
+    h.now += 300_000;
+    assert_eq!(written_by(&h.ended("a", 1, Status::Reset)), Some(sent + 1_000_000));
+}
+
+// Settings read again in the middle of a request made one that must not run twice pass for a safe one.
+#[test]
+fn request_keeps_the_settings_under_which_it_came() {
+    let safe = Settings { classes: vec![Class::default(); 2], max_attempts: 9, ..settings() };
+    let mut h = Harness::new(settings(), &[1, 11, 12]);
+    h.ask(unsafe_request("a"));
+    h.read("a", 0);
+    h.handle(&[Event::Settings(safe)]);
+    let actions = h.ended("a", 1, Status::Reset);
+    assert!(failed(&actions, "a") && sends(&actions, "a").is_empty(), "{actions:?}");
+    // What comes now is of a safe class.
+    h.ask(unsafe_request("b"));
+    h.read("b", 0);
+    assert_eq!(sends(&h.ended("b", 1, Status::Reset), "b").len(), 1);
+}
