Refuse a reload whole where a part of it needs a new start, and test settings against each other

Cause, found by reading: a file read again gave the module its settings, while dial time-out, idle time, report fields, the mode of membership and whether clients ask for the rest stayed as they were at the start: two files at once. Lines: Reload::take. Change: such a file is refused with what differs, as one with other names was before; the address of discovery moves in any case. Tests: two cases of the reload's table; two daemons of other settings under the same ids, one after the other; a class's deadline after a reload.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -207,6 +207,19 @@
     pub resume: bool,
 }
 
+/// The part of a configuration that a running program cannot change.
+#[derive(Clone, Debug, PartialEq)]
+struct Fixed {
+    names: Names,
+    roles: Vec<Role>,
+    load: LoadNames,
+    dial_timeout: Duration,
+    idle_limit: Duration,
+    resume: bool,
+    shared_discovery: bool,
+    told_after: Duration,
+}
+
 fn micros(ms: f64) -> Micros {
     (ms.max(0.0) * 1000.0).round() as Micros
 }
@@ -216,6 +229,19 @@
 }
 
 impl Config {
+    fn fixed(&self) -> Fixed {
+        Fixed {
+            names: self.names.clone(),
+            roles: self.settings.roles.clone(),
+            load: self.load.clone(),
+            dial_timeout: self.dial_timeout,
+            idle_limit: self.idle_limit,
+            resume: self.resume,
+            shared_discovery: self.shared_discovery,
+            told_after: self.told_after,
+        }
+    }
+
     /// Decodes and checks a configuration.
     pub fn decode(text: &[u8]) -> Result<Self, ConfigError> {
         let file: File = serde_json::from_slice(text).map_err(wrong)?;
--- a/src/config/reload.rs
+++ b/src/config/reload.rs
@@ -1,8 +1,8 @@
 //! The configuration file read again on request: its settings as revisioned changes.
 
-use super::{Config, ConfigError, Names, wrong};
+use super::{Config, ConfigError, Fixed, wrong};
 use crate::gateway::{Change, Changes, News};
-use crate::interface::{Role, Settings};
+use crate::interface::Settings;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,12 +15,11 @@
 const FILE_BYTES: u64 = 16 << 20;
 
 /// Reads a configuration file again whenever it is asked to. The discovery address always changes with it,
-/// the settings only where the names in them and the roles stay: for the rest the program has to be started
-/// again.
+/// the settings only as a whole, where none of them is of the part that needs a new start: a mixture of two files
+/// would hold otherwise.
 pub struct Reload {
     path: PathBuf,
-    names: Names,
-    roles: Vec<Role>,
+    fixed: Fixed,
     revision: u64,
     asked: mpsc::Receiver<()>,
     discovery: watch::Sender<Arc<str>>,
@@ -31,8 +30,7 @@
     pub fn new(path: PathBuf, running: &Config, asked: mpsc::Receiver<()>) -> Self {
         Self {
             path,
-            names: running.names.clone(),
-            roles: running.settings.roles.clone(),
+            fixed: running.fixed(),
             revision: 0,
             asked,
             discovery: watch::Sender::new(Arc::from(running.discovery.as_str())),
@@ -65,14 +63,16 @@
 
     /// Takes over what may change; gives the settings if they are among it.
     fn take(&self, config: Config) -> Result<Settings, ConfigError> {
+        let fixed = config.fixed();
         let discovery = Arc::from(config.discovery);
         self.discovery.send_if_modified(|known| {
             let moves = *known != discovery;
             *known = discovery;
             moves
         });
-        if config.names != self.names || config.settings.roles != self.roles {
-            return Err(wrong("names or roles differ: start the program again"));
+        if fixed != self.fixed {
+            let what = "names, roles, reports, connections, membership or resumption differ";
+            return Err(wrong(format!("{what}: start the program again")));
         }
         Ok(config.settings)
     }
@@ -108,6 +108,13 @@
     #[case::class_renamed(r#""c""#, r#""f""#, None, "d")]
     #[case::role_changed("both", "read", None, "d")]
     #[case::names_changed_and_moved(r#""d","settings":{"#, r#""e","settings":{"zones":["z"],"#, None, "e")]
+    #[case::resumption_changed(r#"["both"]"#, r#"["both"],"resume":true"#, None, "d")]
+    #[case::dials_changed(
+        r#""replicasOfMe":3"#,
+        r#""replicasOfMe":4,"permissions":{"dialTimeoutMs":90}"#,
+        None,
+        "d"
+    )]
     #[case::half_written("}", "", None, "d")]
     #[tokio::test(start_paused = true)]
     async fn settings_change_where_names_and_roles_stay(
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -375,17 +375,32 @@
         discovery: SocketAddr,
         inference: Option<Value>,
     ) -> Self {
+        Self::configured(Self::settings(), known, limits, discovery, inference).await
+    }
+
+    /// The settings of a daemon unless others are told.
+    pub fn settings() -> Value {
         let class = |name: &str, effect: &str| json!({"name": name, "objectiveMs": 4000, "hardLimitMs": 20000, "effect": effect});
+        json!({
+            "zones": ["a"], "kinds": ["reader", "writer"],
+            "categories": [class("lookup", "safe"), class("correction", "unsafe")],
+            "projects": [{"name": "desk", "quotaPerS": 100000.0}],
+            "extra": {"roleByKind": ["read", "write"], "tokensByKind": [200000, 200000], "letGoByMs": 300},
+            "permissions": {"cancelling": true},
+        })
+    }
+
+    /// A daemon of these settings.
+    pub async fn configured(
+        settings: Value,
+        known: Value,
+        limits: Value,
+        discovery: SocketAddr,
+        inference: Option<Value>,
+    ) -> Self {
         let config = json!({
             "name": "n0", "listen": "", "discovery": discovery.to_string(), "seed": "5", "limits": limits,
-            "known": known,
-            "settings": {
-                "zones": ["a"], "kinds": ["reader", "writer"],
-                "categories": [class("lookup", "safe"), class("correction", "unsafe")],
-                "projects": [{"name": "desk", "quotaPerS": 100000.0}],
-                "extra": {"roleByKind": ["read", "write"], "tokensByKind": [200000, 200000], "letGoByMs": 300},
-                "permissions": {"cancelling": true},
-            },
+            "known": known, "settings": settings,
         });
         let told = config.clone();
         let config = Config::decode(config.to_string().as_bytes()).expect("a lawful configuration");
@@ -418,6 +433,13 @@
         self.reread(&config.to_string()).await;
     }
 
+    /// Has the daemon read a configuration again that differs in its settings alone.
+    pub async fn change_settings(&self, settings: Value) {
+        let mut config = self.config.clone();
+        config["settings"] = settings;
+        self.reread(&config.to_string()).await;
+    }
+
     /// Has the daemon read its configuration again.
     pub async fn reread(&self, text: &str) {
         std::fs::write(self.file.path(), text).expect("it can be written");
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -135,3 +135,68 @@
     })
     .await;
 }
+
+// One program serves deployments whose classes, tenants and limits share names and ids: nothing of one is left for the
+// next.
+#[tokio::test]
+async fn settings_of_one_configuration_do_not_show_under_another() {
+    local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        let discovery = Discovery::start(&[&reader, &writer]).await;
+        let mut other = Daemon::settings();
+        other["categories"][0]["effect"] = json!("unsafe");
+        other["categories"][0]["hardLimitMs"] = json!(700);
+        other["projects"] = json!([{"name": "shop", "quotaPerS": 100000.0}]);
+        let asked = async |settings: &serde_json::Value, tenant: &str| {
+            let (known, limits) = (json!(null), json!({}));
+            let daemon = Daemon::configured(settings.clone(), known, limits, discovery.address, None).await;
+            until("ready", async || daemon.is_ready().await).await;
+            let headers = [("Req-Id", "a1"), ("Req-Kind", "lookup"), ("Req-Owner", tenant)];
+            writer.mode.set(Mode::SaysOnce("HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"));
+            let first = ask(daemon.address, "POST", "/v1/chat/completions", &headers, CHAT).await.status;
+            writer.mode.set(Mode::Silent);
+            let start = Instant::now();
+            let headers = [("Req-Id", "a2"), ("Req-Kind", "lookup"), ("Req-Owner", tenant)];
+            let late = ask(daemon.address, "POST", "/v1/chat/completions", &headers, CHAT);
+            let late = tokio::time::timeout(Duration::from_secs(2), late).await;
+            daemon.stop.notify_one();
+            (first, late.map(|answer| answer.status).ok(), start.elapsed() < Duration::from_secs(1))
+        };
+        assert_eq!(asked(&Daemon::settings(), "desk").await, (200, None, false));
+        assert_eq!(asked(&other, "shop").await, (502, Some(504), true));
+        assert_eq!(asked(&other, "desk").await.0, 400);
+        assert_eq!(asked(&Daemon::settings(), "desk").await, (200, None, false));
+    })
+    .await;
+}
+
+// Settings read again under a running gateway held for some of its parts only: a request that told no deadline had its
+// class's of the file before.
+#[tokio::test]
+async fn settings_read_again_hold_for_what_comes_next() {
+    local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        let discovery = Discovery::start(&[&reader, &writer]).await;
+        let daemon = Daemon::start(&discovery, None).await;
+        writer.mode.set(Mode::Silent);
+        let mut short = Daemon::settings();
+        short["categories"][1]["hardLimitMs"] = json!(600);
+        daemon.change_settings(short).await;
+        let mut n = 0;
+        until("the shorter deadline holds", async || {
+            n += 1;
+            let id = format!("a{n}");
+            let headers = [("Req-Id", id.as_str()), ("Req-Kind", "correction"), ("Req-Owner", "desk")];
+            let answer = ask(daemon.address, "POST", "/v1/chat/completions", &headers, CHAT);
+            let answer = tokio::time::timeout(Duration::from_millis(1_500), answer).await;
+            answer.is_ok_and(|answer| answer.status == 504)
+        })
+        .await;
+        let told: Vec<_> =
+            reader.seen.borrow().iter().map(|seen| seen.headers["req-deadline"].clone()).collect();
+        let last =
+            told.last().expect("it was read").trim_end_matches('m').parse::<u64>().expect("milliseconds");
+        assert!(last <= 600, "{told:?}");
+    })
+    .await;
+}
