Split the driver by job and name the stages by the field's terms; nothing behaves otherwise

- Letting go of what is held has left accounting: Releases knows which engine answered last, Accounting counts.

--- a/src/daemon.rs
+++ b/src/daemon/mod.rs
@@ -1,8 +1,10 @@
 //! Puts the parts together and serves until it is stopped.
 
+mod stop;
+
 use crate::config::{self, Bounds, Config};
 use crate::front::{Bodies, Fronts, Inference, Management, Model, Platform};
-use crate::gateway::{self, Changes, Departure, Gateway, News, Tuning};
+use crate::gateway::{self, Changes, Gateway, News, Tuning};
 use crate::interface::Settings;
 use crate::net::{self, Asking, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
 use std::error::Error;
@@ -10,26 +12,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use stop::StopPlan;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-/// A program that was asked to stop is killed no sooner than after its longest deadline, counted as this
-/// where it is longer, and a little more.
-const LONGEST_COUNTED: Duration = Duration::from_secs(3);
-const KILLED_AFTER: Duration = Duration::from_millis(700);
-/// How long before that the last answer is given.
-const ANSWERED_BEFORE: Duration = Duration::from_millis(300);
-/// For how long new connections and requests are still taken, in any case and as a part of the longest
-/// deadline: another gateway may be restarting just then.
-const LEAVING: Duration = Duration::from_millis(500);
-const LEAVING_PART: f64 = 0.3;
-/// Where clients do not ask for the rest of an answer no more is taken that could still run when the program is
-/// killed: what comes within this time of the order may (protocol: 0.7 s).
-const LEAVING_WHOLE: Duration = Duration::from_millis(600);
-/// When running answers are handed over, as parts of the time until the end, first and last: late, so that
-/// most end by themselves and a gateway that stopped before this one is back.
-const HAND_OVER: (f64, f64) = (0.65, 0.85);
 /// What is let go after the last answer still has to reach an engine.
 const LAST_RELEASES: Duration = Duration::from_millis(300);
 /// How long a call of an operator may stand still, and how long it may take.
@@ -143,6 +130,26 @@
     });
 }
 
+/// Answers operators until the process ends: `connections` at a time, and above that so many are turned away.
+fn serve_operators(listener: TcpListener, front: Management, (connections, spare): (usize, usize)) {
+    let limits = ServeLimits {
+        connections,
+        spare,
+        buffer: CALL_BYTES,
+        ahead: CALL_BYTES,
+        stall: CALL_STALL,
+        head: CALL,
+        idle: CALL_STALL,
+        idle_least: CALL_STALL / 4,
+    };
+    let always = watch::Sender::new(Phase::Serving);
+    let phases = always.subscribe();
+    tokio::task::spawn_local(async move {
+        net::serve(listener, Rc::new(front), limits, phases).await;
+        drop(always);
+    });
+}
+
 /// Where operators call, and what the processes of one gateway share.
 pub struct Operation {
     /// Listens for operators' calls.
@@ -206,23 +213,7 @@
             shared: shared.clone(),
             phase: phase.clone(),
         };
-        let limits = ServeLimits {
-            connections: bounds.management.0,
-            spare: bounds.management.1,
-            buffer: CALL_BYTES,
-            ahead: CALL_BYTES,
-            stall: CALL_STALL,
-            head: CALL,
-            idle: CALL_STALL,
-            idle_least: CALL_STALL / 4,
-        };
-        // Operators are answered until the process ends.
-        let always = watch::Sender::new(Phase::Serving);
-        let phases = always.subscribe();
-        tokio::task::spawn_local(async move {
-            net::serve(listener, Rc::new(front), limits, phases).await;
-            drop(always);
-        });
+        serve_operators(listener, front, bounds.management);
     }
     let bodies = Rc::new(Bodies::new(bounds.reading_bytes));
     let fronts = Fronts {
@@ -251,18 +242,10 @@
     let superseded = shared.is_superseded();
     log::info!("stopping open={} superseded={superseded}", chat.open());
     phase.send_replace(if superseded { Phase::Superseded } else { Phase::Leaving });
-    let longest = chat.settings().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-    let counted = Duration::from_micros(longest).min(LONGEST_COUNTED);
-    let (asked, end) = (Instant::now(), counted + KILLED_AFTER);
-    let (first, last) = (end.mul_f64(HAND_OVER.0), end.mul_f64(HAND_OVER.1));
-    let departure = Departure {
-        answers_by: asked + end - ANSWERED_BEFORE,
-        hand_over: config.resume.then_some((asked + first, last - first)),
-    };
-    gateways.iter().for_each(|gateway| gateway.leave(departure));
+    let plan = StopPlan::new(Instant::now(), &chat.settings(), config.resume);
+    gateways.iter().for_each(|gateway| gateway.leave(plan.departure));
     if !superseded {
-        let leaving = LEAVING + counted.mul_f64(LEAVING_PART);
-        tokio::time::sleep(if config.resume { leaving } else { leaving.min(LEAVING_WHOLE) }).await;
+        tokio::time::sleep(plan.serve_for).await;
         phase.send_replace(Phase::Closing);
     }
     served.await?;
--- a/src/gateway/admit.rs
+++ b/src/gateway/admission.rs
@@ -1,6 +1,6 @@
 //! Second stage: bounds on what is open, who waits for it, and repeats that run nothing twice.
 
-use super::take_in::Caller;
+use super::intake::Caller;
 use super::{Answer, EventStream, Rejected};
 use crate::interface::RequestId;
 use std::collections::{HashMap, VecDeque};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,27 +1,34 @@
 //! The gateway's core: it drives the decision module and knows no wire.
 //!
-//! A request passes the stages `take_in`, `admit`, `route`, `send`, `relay` and `book`, each a module
-//! of its own. Engines are reached through [`Engines`], the roster through [`Changes`]; fronts hand
+//! A request passes the stages `intake`, `admission`, `routing`, `dispatch`, `relay` and `accounting`, each a module of its
+//! own; `driver` is the event loop that takes it through them. Engines are reached through [`Engines`], the roster through [`Changes`]; fronts hand
 //! requests to a [`Gateway`] and wait for its [`Answer`].
 
-mod admit;
-mod book;
+mod accounting;
+mod admission;
+mod attempts;
 mod clock;
+mod dispatch;
 mod driver;
 mod figures;
+mod handle;
+mod intake;
+mod open_request;
 mod relay;
+mod releases;
 mod roster;
-mod route;
-mod send;
-mod take_in;
+mod routing;
+mod tuning;
 
-pub use admit::{Key, Limits};
+pub use admission::{Key, Limits};
 pub use clock::Clock;
-pub use driver::{Gateway, Tuning, start};
+pub use driver::start;
 pub use figures::{Fate, Figures, Handled};
+pub use handle::Gateway;
+pub use intake::{Rejected, Submission, Ticket};
 pub use relay::{Departure, Relay};
 pub use roster::{Change, Changes, Gate, Listed, News};
-pub use take_in::{Rejected, Submission, Ticket};
+pub use tuning::Tuning;
 
 use crate::interface::{Load, Micros, RequestId};
 use bytes::Bytes;
--- /dev/null
+++ b/src/gateway/releases.rs
@@ -0,0 +1,106 @@
+//! States and places that engines hold for a request, and letting go of them.
+
+use super::Engines;
+use super::driver::Driver;
+use super::roster::Roster;
+use crate::interface::{Micros, RequestId, ServerId};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// Makes the calls that let go of what is held, at the engines surest to answer.
+pub(super) struct Releases<E: Engines> {
+    engines: Rc<E>,
+    roster: Rc<Roster>,
+    /// How long one engine may take to accept a release before another is asked.
+    patience: Duration,
+    /// When each engine last answered: a release goes first to the one surest to run.
+    heard: RefCell<HashMap<ServerId, Micros>>,
+    /// Releases that no engine accepted, since they were last asked for.
+    failed: Rc<Cell<u64>>,
+}
+
+impl<E: Engines> Releases<E> {
+    pub(super) fn new(engines: Rc<E>, roster: Rc<Roster>, patience: Duration) -> Self {
+        Self { engines, roster, patience, heard: RefCell::default(), failed: Rc::default() }
+    }
+
+    /// How many failed since this was last asked.
+    pub(super) fn take_failed(&self) -> u64 {
+        self.failed.take()
+    }
+
+    pub(super) fn hear(&self, server: ServerId, now: Micros) {
+        self.heard.borrow_mut().insert(server, now);
+    }
+
+    /// Forgets the engines that are no longer listed: new ones come for as long as the gateway runs.
+    pub(super) fn forget_unlisted(&self) {
+        let roster = &self.roster;
+        self.heard.borrow_mut().retain(|server, _| roster.entry(*server).is_some());
+    }
+
+    /// The engines as a release is tried at them: first the one heard last, then the one heard last in each
+    /// other zone, and so on in turn. A gateway with little traffic has often heard last from engines that
+    /// were lost or cut off together: one after the other they would use up the time that a state may be held.
+    fn in_order_of_trust(&self) -> Vec<Arc<str>> {
+        let heard = self.heard.borrow();
+        let mut engines = self.roster.listed();
+        engines.sort_by_key(|e| std::cmp::Reverse(heard.get(&e.entry.server).copied().unwrap_or(0)));
+        let mut turns = HashMap::<u32, usize>::new();
+        let with_turn = engines.into_iter().map(|engine| {
+            let turn = turns.entry(engine.entry.zone).or_default();
+            *turn += 1;
+            (*turn, engine.endpoint)
+        });
+        let mut engines: Vec<_> = with_turn.collect();
+        engines.sort_by_key(|(turn, _)| *turn);
+        engines.into_iter().map(|(_, endpoint)| endpoint).collect()
+    }
+
+    /// Lets go of what is held for the request, at whichever engine takes the call. Whoever writes an attempt of
+    /// the request waits for the task, or ends it: what that attempt leaves must stay.
+    pub(super) fn start(&self, id: RequestId, delay: Duration, waits: Rc<Cell<bool>>) -> JoinHandle<()> {
+        let engines = self.in_order_of_trust();
+        let (engine, patience, failed) = (self.engines.clone(), self.patience, self.failed.clone());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            waits.set(false);
+            for endpoint in engines {
+                match tokio::time::timeout(patience, engine.release(endpoint.clone(), id.clone())).await {
+                    Ok(Ok(())) => return,
+                    Ok(Err(error)) => log::debug!("release request={} at={endpoint} {error}", id.0),
+                    Err(_) => log::debug!("release request={} at={endpoint} no answer in time", id.0),
+                }
+            }
+            failed.set(failed.get() + 1);
+            log::warn!("release failed everywhere request={}", id.0);
+        })
+    }
+}
+
+impl<E: Engines> Driver<E> {
+    /// Lets go of what is held, at the end of a turn, or before the request is sent again. While an attempt is
+    /// out the call is left out: it could take the state of a read away, and engines let go of the rest when
+    /// an answer begins.
+    pub(super) fn release(&mut self, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| open.reached && !open.streamed) else { return };
+        if !open.answered && open.out > 0 {
+            return;
+        }
+        let late = open.answered && open.broken_read;
+        if late && open.release_waits.replace(true) {
+            return;
+        }
+        let delay = if late { self.tuning.release_delay } else { Duration::ZERO };
+        log::debug!("release request={} answered={} out={}", id.0, open.answered, open.out);
+        let releasing = self.releases.start(id, delay, open.release_waits.clone());
+        // The same call, further behind: beside an attempt that waits for the newer one alone it could overtake that.
+        if let Some(earlier) = open.releasing.replace(releasing) {
+            earlier.abort();
+        }
+    }
+}
--- a/src/gateway/route.rs
+++ b/src/gateway/routing.rs
@@ -5,13 +5,13 @@
 use std::collections::BTreeSet;
 
 /// The module with its pending events and timers.
-pub(super) struct Route {
+pub(super) struct Routing {
     router: Router,
     events: Vec<Event>,
     timers: BTreeSet<(Micros, u64)>,
 }
 
-impl Route {
+impl Routing {
     pub(super) fn new(router: Router) -> Self {
         Self { router, events: Vec::new(), timers: BTreeSet::new() }
     }
