Split clients' connections from their eviction; nothing behaves otherwise

src/net/clients.rs is connection.rs (the state of one connection) and eviction.rs (how many there may be, and which is closed when). Standing, Seat, Place, Marked and Watched are Connection, Registration, Room, ClientBody and ClientStream.

--- a/src/net/clients.rs
+++ b/src/net/connection.rs
@@ -1,13 +1,13 @@
-//! Clients' connections as they stand: which carry a request, how long the others have been quiet, and
-//! which of those goes first when room is short.
+//! The state of one client's connection: whether it carries a request, what came ahead of the parser, how long it has been
+//! quiet, and whether its client has gone.
 
+use super::eviction::ServeLimits;
 use super::heads::{Framing, Heads};
 use super::transport::{self, is_stale};
 use crate::gateway::{AttemptError, Progress};
 use bytes::BytesMut;
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::fmt;
 use std::future::poll_fn;
 use std::io;
@@ -20,32 +20,6 @@
 use tokio::sync::Notify;
 use tokio::time::Sleep;
 
-/// Bounds on clients' connections.
-#[derive(Clone, Copy, Debug)]
-pub struct ServeLimits {
-    /// Connections served; those above are told to come back and closed.
-    pub connections: usize,
-    /// Connections above that, at most; what comes then is closed without a word.
-    pub spare: usize,
-    /// Most bytes of a head, and of what is buffered for a connection.
-    pub buffer: usize,
-    /// Most bytes that are read ahead of the parser, on all connections together.
-    pub ahead: usize,
-    /// How long a connection may stand quiet before its first request or within one.
-    pub stall: Duration,
-    /// How long a head may take to come in.
-    pub head: Duration,
-    /// How long a connection may stand idle between requests while there is room.
-    pub idle: Duration,
-    /// How long it may stand so in any case, unless nothing else gives room.
-    pub idle_least: Duration,
-}
-
-/// Part of the connections from which idle ones make room for new ones.
-const CROWDED: f64 = 0.75;
-/// A connection younger than this may have its first request under way.
-const YOUNG: Duration = Duration::from_millis(50);
-
 /// How long what was handed on may take to be written out before a break ends the connection.
 const WRITE_OUT: Duration = Duration::from_millis(20);
 
@@ -73,7 +47,7 @@
 }
 
 /// One connection.
-pub(super) struct Standing {
+pub(super) struct Connection {
     pub(super) stream: Rc<TcpStream>,
     heads: RefCell<Heads>,
     /// What has come behind the request that is being answered, for the parser to read after it.
@@ -97,8 +71,8 @@
     close: Notify,
 }
 
-impl Standing {
-    fn new(stream: Rc<TcpStream>, ahead_room: Rc<Cell<usize>>) -> Self {
+impl Connection {
+    pub(super) fn new(stream: Rc<TcpStream>, ahead_room: Rc<Cell<usize>>) -> Self {
         let now = Instant::now();
         Self {
             stream,
@@ -180,18 +154,23 @@
         Poll::Ready(())
     }
 
+    /// Whether it was asked to close, or closes by itself.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// It closes by itself from now on, and makes room for nothing more.
     pub(super) fn leave(&self) {
         self.leaving.set(true);
     }
 
-    fn ask_to_close(&self) {
+    pub(super) fn ask_to_close(&self) {
         self.leaving.set(true);
         self.close.notify_one();
     }
 
     /// Has it closed so that another can have its place at once.
-    fn make_way(&self) {
+    pub(super) fn make_way(&self) {
         self.awaited.set(true);
         self.ask_to_close();
     }
@@ -208,11 +187,11 @@
     }
 
     /// How long it has been quiet, if no request is open on it.
-    fn quiet(&self) -> Option<Duration> {
+    pub(super) fn quiet(&self) -> Option<Duration> {
         (!self.leaving.get() && self.answering.get() == 0).then(|| self.quiet_since.get().elapsed())
     }
 
-    fn is_overdue(&self, limits: &ServeLimits) -> bool {
+    pub(super) fn is_overdue(&self, limits: &ServeLimits) -> bool {
         let Some(quiet) = self.quiet() else { return false };
         if self.in_request() {
             return quiet >= limits.stall || self.begun.get().elapsed() >= limits.head;
@@ -231,24 +210,24 @@
     }
 }
 
-impl Drop for Standing {
+impl Drop for Connection {
     fn drop(&mut self) {
         self.ahead_room.set(self.ahead_room.get() + self.ahead.borrow().len());
     }
 }
 
 /// A request that is being answered on a connection.
-pub(super) struct Answering(Rc<Standing>);
+pub(super) struct RequestInHand(Rc<Connection>);
 
-impl Answering {
-    pub(super) fn new(standing: Rc<Standing>) -> Self {
-        standing.answering.set(standing.answering.get() + 1);
-        standing.used.set(true);
-        Self(standing)
+impl RequestInHand {
+    pub(super) fn new(connection: Rc<Connection>) -> Self {
+        connection.answering.set(connection.answering.get() + 1);
+        connection.used.set(true);
+        Self(connection)
     }
 }
 
-impl Drop for Answering {
+impl Drop for RequestInHand {
     fn drop(&mut self) {
         self.0.answering.set(self.0.answering.get() - 1);
         self.0.quiet_since.set(Instant::now());
@@ -256,23 +235,23 @@
 }
 
 /// An answer's body, with which the request's time on the connection ends.
-pub(super) struct Marked<B: Body> {
+pub(super) struct ClientBody<B: Body> {
     body: B,
     /// A break that is still to be told, and when.
     broken: Option<(B::Error, Pin<Box<Sleep>>)>,
     gone: Pin<Box<dyn Future<Output = ClientGone>>>,
-    _answering: Answering,
+    _answering: RequestInHand,
 }
 
-impl<B: Body> Marked<B> {
-    pub(super) fn new(body: B, answering: Answering) -> Self {
-        let standing = answering.0.clone();
-        let gone = Box::pin(async move { standing.client_gone().await });
+impl<B: Body> ClientBody<B> {
+    pub(super) fn new(body: B, answering: RequestInHand) -> Self {
+        let connection = answering.0.clone();
+        let gone = Box::pin(async move { connection.client_gone().await });
         Self { body, broken: None, gone, _answering: answering }
     }
 }
 
-impl<B: Body + Unpin> Body for Marked<B>
+impl<B: Body + Unpin> Body for ClientBody<B>
 where
     B::Error: Unpin + From<ClientGone>,
 {
@@ -314,9 +293,9 @@
 }
 
 /// A connection's bytes, with what has come noted.
-pub(super) struct Watched(pub(super) Rc<Standing>);
+pub(super) struct ClientStream(pub(super) Rc<Connection>);
 
-impl AsyncRead for Watched {
+impl AsyncRead for ClientStream {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -341,7 +320,7 @@
     }
 }
 
-impl AsyncWrite for Watched {
+impl AsyncWrite for ClientStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         transport::poll_write(&self.0.stream, context, bytes)
     }
@@ -354,95 +333,3 @@
         Poll::Ready(transport::end_writing(&self.0.stream))
     }
 }
-
-/// All connections of clients.
-pub(super) struct Clients {
-    limits: ServeLimits,
-    all: RefCell<BTreeMap<u64, Rc<Standing>>>,
-    ahead_room: Rc<Cell<usize>>,
-    next: Cell<u64>,
-}
-
-/// What becomes of a new connection.
-pub(super) enum Place {
-    /// It is served.
-    Served(Seat),
-    /// It is told that there is no room.
-    Turned(Seat),
-    /// There is not even room to tell it.
-    None,
-}
-
-/// A connection's place among the others, for as long as it lives.
-pub(super) struct Seat {
-    clients: Rc<Clients>,
-    number: u64,
-    pub(super) standing: Rc<Standing>,
-}
-
-impl Drop for Seat {
-    fn drop(&mut self) {
-        self.clients.all.borrow_mut().remove(&self.number);
-    }
-}
-
-impl Clients {
-    pub(super) fn new(limits: ServeLimits) -> Rc<Self> {
-        let ahead_room = Rc::new(Cell::new(limits.ahead));
-        Rc::new(Self { limits, all: RefCell::default(), ahead_room, next: Cell::new(0) })
-    }
-
-    pub(super) fn open(&self) -> usize {
-        self.all.borrow().len()
-    }
-
-    /// Takes a new connection in; idle ones make room for it.
-    pub(super) async fn take(self: &Rc<Self>, stream: TcpStream) -> Place {
-        let full = self.make_room();
-        let most = self.limits.connections + self.limits.spare;
-        if self.open() >= most {
-            // What was just asked to close does so in its own task.
-            tokio::task::yield_now().await;
-        }
-        if self.open() >= most {
-            return Place::None;
-        }
-        let (number, standing) =
-            (self.next.get(), Rc::new(Standing::new(Rc::new(stream), self.ahead_room.clone())));
-        self.next.set(number + 1);
-        self.all.borrow_mut().insert(number, standing.clone());
-        let seat = Seat { clients: self.clone(), number, standing };
-        if full { Place::Turned(seat) } else { Place::Served(seat) }
-    }
-
-    /// Has the connection that is missed least closed where room is short. Whether there is none left.
-    fn make_room(&self) -> bool {
-        let all = self.all.borrow();
-        let staying = all.values().filter(|s| !s.leaving.get()).count();
-        let full = staying >= self.limits.connections;
-        if (staying as f64) < self.limits.connections as f64 * CROWDED {
-            return false;
-        }
-        let quiet = all.values().filter_map(|s| Some((s.quiet()?, s)));
-        let open = quiet.filter(|(quiet, s)| {
-            let old = *quiet >= self.limits.idle_least;
-            old || full && (*quiet >= YOUNG || s.is_used()) && !s.in_request()
-        });
-        // First what has had its time, then what never asked anything, then the longest idle.
-        let least = open.max_by_key(|(quiet, s)| (*quiet >= self.limits.idle_least, !s.is_used(), *quiet));
-        match least {
-            Some((_, standing)) => {
-                standing.make_way();
-                false
-            }
-            None => full,
-        }
-    }
-
-    /// Has those closed that were quiet for too long.
-    pub(super) fn close_overdue(&self) {
-        for standing in self.all.borrow().values().filter(|s| s.is_overdue(&self.limits)) {
-            standing.ask_to_close();
-        }
-    }
-}
--- /dev/null
+++ b/src/net/eviction.rs
@@ -0,0 +1,126 @@
+//! All clients' connections: how many there may be, and which of the quiet ones are closed, or make room for new ones.
+
+use super::connection::Connection;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Bounds on clients' connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ServeLimits {
+    /// Connections served; those above are told to come back and closed.
+    pub connections: usize,
+    /// Connections above that, at most; what comes then is closed without a word.
+    pub spare: usize,
+    /// Most bytes of a head, and of what is buffered for a connection.
+    pub buffer: usize,
+    /// Most bytes that are read ahead of the parser, on all connections together.
+    pub ahead: usize,
+    /// How long a connection may stand quiet before its first request or within one.
+    pub stall: Duration,
+    /// How long a head may take to come in.
+    pub head: Duration,
+    /// How long a connection may stand idle between requests while there is room.
+    pub idle: Duration,
+    /// How long it may stand so in any case, unless nothing else gives room.
+    pub idle_least: Duration,
+}
+
+/// Part of the connections from which idle ones make room for new ones.
+const CROWDED: f64 = 0.75;
+/// A connection younger than this may have its first request under way.
+const YOUNG: Duration = Duration::from_millis(50);
+
+/// All connections of clients.
+pub(super) struct Connections {
+    limits: ServeLimits,
+    all: RefCell<BTreeMap<u64, Rc<Connection>>>,
+    ahead_room: Rc<Cell<usize>>,
+    next: Cell<u64>,
+}
+
+/// What becomes of a new connection.
+pub(super) enum Room {
+    /// It is served.
+    Served(Registration),
+    /// It is told that there is no room.
+    Turned(Registration),
+    /// There is not even room to tell it.
+    None,
+}
+
+/// A connection's place among the others, for as long as it lives.
+pub(super) struct Registration {
+    connections: Rc<Connections>,
+    number: u64,
+    pub(super) connection: Rc<Connection>,
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        self.connections.all.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Connections {
+    pub(super) fn new(limits: ServeLimits) -> Rc<Self> {
+        let ahead_room = Rc::new(Cell::new(limits.ahead));
+        Rc::new(Self { limits, all: RefCell::default(), ahead_room, next: Cell::new(0) })
+    }
+
+    pub(super) fn open(&self) -> usize {
+        self.all.borrow().len()
+    }
+
+    /// Takes a new connection in; idle ones make room for it.
+    pub(super) async fn take(self: &Rc<Self>, stream: TcpStream) -> Room {
+        let full = self.make_room();
+        let most = self.limits.connections + self.limits.spare;
+        if self.open() >= most {
+            // What was just asked to close does so in its own task.
+            tokio::task::yield_now().await;
+        }
+        if self.open() >= most {
+            return Room::None;
+        }
+        let (number, connection) =
+            (self.next.get(), Rc::new(Connection::new(Rc::new(stream), self.ahead_room.clone())));
+        self.next.set(number + 1);
+        self.all.borrow_mut().insert(number, connection.clone());
+        let registration = Registration { connections: self.clone(), number, connection };
+        if full { Room::Turned(registration) } else { Room::Served(registration) }
+    }
+
+    /// Has the connection that is missed least closed where room is short. Whether there is none left.
+    fn make_room(&self) -> bool {
+        let all = self.all.borrow();
+        let staying = all.values().filter(|s| !s.is_leaving()).count();
+        let full = staying >= self.limits.connections;
+        if (staying as f64) < self.limits.connections as f64 * CROWDED {
+            return false;
+        }
+        let quiet = all.values().filter_map(|s| Some((s.quiet()?, s)));
+        let open = quiet.filter(|(quiet, s)| {
+            let old = *quiet >= self.limits.idle_least;
+            old || full && (*quiet >= YOUNG || s.is_used()) && !s.in_request()
+        });
+        // First what has had its time, then what never asked anything, then the longest idle.
+        let least = open.max_by_key(|(quiet, s)| (*quiet >= self.limits.idle_least, !s.is_used(), *quiet));
+        match least {
+            Some((_, connection)) => {
+                connection.make_way();
+                false
+            }
+            None => full,
+        }
+    }
+
+    /// Has those closed that were quiet for too long.
+    pub(super) fn close_overdue(&self) {
+        for connection in self.all.borrow().values().filter(|s| s.is_overdue(&self.limits)) {
+            connection.ask_to_close();
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,10 +1,11 @@
 //! Sockets: connections to engines, discovery's watch, the server side, and signals.
 
 mod backoff;
-mod clients;
+mod connection;
 mod discovery;
 mod engines;
 mod events;
+mod eviction;
 mod heads;
 mod inherited;
 mod pool;
@@ -13,9 +14,9 @@
 mod transport;
 
 pub use backoff::Asking;
-pub use clients::ServeLimits;
 pub use discovery::Watch;
 pub use engines::{HttpEngines, HttpEvents, Job, Manner};
+pub use eviction::ServeLimits;
 pub use inherited::inherited;
 pub use pool::{Pool, PoolLimits};
 pub use serve::{Front, FrontBody, Phase, serve};
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,7 +1,8 @@
-//! The server side: connections of clients, bounded, each with a task of its own where panics stop.
+//! The server side: connections of connections, bounded, each with a task of its own where panics stop.
 
-use super::clients::{Answering, Clients, Marked, Place, Seat, ServeLimits, Standing, Watched};
+use super::connection::{ClientBody, ClientStream, Connection, RequestInHand};
 use super::engines::HttpEvents;
+use super::eviction::{Connections, Registration, Room, ServeLimits};
 use super::heads::Framing;
 use super::transport::end_writing;
 use crate::gateway::{AttemptError, Relay};
@@ -116,24 +117,24 @@
     limits: ServeLimits,
     mut phase: watch::Receiver<Phase>,
 ) {
-    let clients = Clients::new(limits);
+    let connections = Connections::new(limits);
     let mut look = tokio::time::interval(LOOK_EVERY);
     look.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let phases = phase.clone();
     let start = async |stream| {
-        let (seat, over) = match clients.take(stream).await {
-            Place::Served(seat) => (seat, false),
-            Place::Turned(seat) => (seat, true),
-            Place::None => return log::debug!("no room for a connection"),
+        let (registration, over) = match connections.take(stream).await {
+            Room::Served(registration) => (registration, false),
+            Room::Turned(registration) => (registration, true),
+            Room::None => return log::debug!("no room for a connection"),
         };
-        tokio::task::spawn_local(connection(seat, front.clone(), over, limits, phases.clone()));
+        tokio::task::spawn_local(serve_connection(registration, front.clone(), over, limits, phases.clone()));
     };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = phase.wait_for(|phase| phase.is_closed()) => break,
             _ = look.tick() => {
-                clients.close_overdue();
+                connections.close_overdue();
                 continue;
             }
         };
@@ -152,9 +153,9 @@
         }
     }
     drop(listener);
-    while clients.open() > 0 {
+    while connections.open() > 0 {
         tokio::time::sleep(Duration::from_millis(10)).await;
-        clients.close_overdue();
+        connections.close_overdue();
     }
 }
 
@@ -166,24 +167,24 @@
     TcpStream::from_std(socket.into()).ok()
 }
 
-async fn connection<F: Front>(
-    seat: Seat,
+async fn serve_connection<F: Front>(
+    registration: Registration,
     front: Rc<F>,
     over: bool,
     limits: ServeLimits,
     mut phase: watch::Receiver<Phase>,
 ) {
-    let standing = seat.standing.clone();
+    let connection = registration.connection.clone();
     // A client that has vanished, or reads no more, must not hold its connection and stream for good.
-    let set = standing.stream.set_nodelay(true);
-    let set = set.and_then(|()| SockRef::from(&*standing.stream).set_tcp_user_timeout(Some(UNREAD)));
+    let set = connection.stream.set_nodelay(true);
+    let set = set.and_then(|()| SockRef::from(&*connection.stream).set_tcp_user_timeout(Some(UNREAD)));
     if let Err(error) = set {
         log::debug!("connection {error}");
     }
     let service = service_fn(|request| {
-        let (front, framing) = (front.clone(), standing.next_framing());
-        let answering = Answering::new(standing.clone());
-        let standing = standing.clone();
+        let (front, framing) = (front.clone(), connection.next_framing());
+        let answering = RequestInHand::new(connection.clone());
+        let connection = connection.clone();
         async move {
             let mut response = match framing {
                 _ if over => front.too_many(&request),
@@ -191,7 +192,7 @@
                 // Looked at first each time: nothing is begun for a client that has gone.
                 Framing::Length | Framing::Chunks => tokio::select! {
                     biased;
-                    gone = standing.client_gone() => return Err(gone),
+                    gone = connection.client_gone() => return Err(gone),
                     response = front.handle(request) => response,
                 },
             };
@@ -199,33 +200,33 @@
                 // Where its body ends is not known here: nothing behind it is taken for a request.
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok(response.map(|body| Marked::new(body, answering)))
+            Ok(response.map(|body| ClientBody::new(body, answering)))
         }
     });
     let mut ending = *phase.borrow() == Phase::Away;
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(TokioTimer::new()).max_buf_size(limits.buffer).keep_alive(!over && !ending);
-    let io = TokioIo::new(Watched(standing.clone()));
+    let io = TokioIo::new(ClientStream(connection.clone()));
     let mut served = std::pin::pin!(builder.serve_connection(io, service));
     let result = loop {
         tokio::select! {
             result = &mut served => break result,
-            () = sent_away(&mut phase, &standing), if !ending => {
+            () = sent_away(&mut phase, &connection), if !ending => {
                 ending = true;
                 served.as_mut().graceful_shutdown();
             }
-            () = standing.asked_to_close() => {
-                if standing.in_request() {
+            () = connection.asked_to_close() => {
+                if connection.in_request() {
                     // Nothing is being answered, so nothing else is being written.
-                    drop(standing.stream.try_write(REQUEST_TIMEOUT));
+                    drop(connection.stream.try_write(REQUEST_TIMEOUT));
                     break Ok(());
                 }
-                if standing.has_news() {
+                if connection.has_news() {
                     // A request or the client's own close crossed it.
-                    standing.stay();
+                    connection.stay();
                     continue;
                 }
-                if !standing.is_used() {
+                if !connection.is_used() {
                     return;
                 }
                 served.as_mut().graceful_shutdown();
@@ -236,22 +237,22 @@
     if let Err(error) = result {
         log::debug!("connection ended {error}");
     }
-    standing.leave();
+    connection.leave();
     // Closed over bytes that were not read the connection would be reset, and what was written last go with it. One
     // that lingered in the place that another is to have would have that one closed without a word.
-    if (standing.in_request() || standing.has_news()) && !standing.is_awaited() {
-        linger(&standing.stream, limits.buffer).await;
+    if (connection.in_request() || connection.has_news()) && !connection.is_awaited() {
+        linger(&connection.stream, limits.buffer).await;
     }
 }
 
 /// Waits until connections are to close after the answer in hand, and no request has come on this one, whole or in part:
 /// it would meet a reset. One that stops coming is given up as at any other time.
-async fn sent_away(phase: &mut watch::Receiver<Phase>, standing: &Standing) {
+async fn sent_away(phase: &mut watch::Receiver<Phase>, connection: &Connection) {
     // Without a sender there is nobody to end what is served.
     if phase.wait_for(|phase| *phase == Phase::Away || phase.is_closed()).await.is_err() {
         return std::future::pending().await;
     }
-    while !standing.is_answering() && (standing.in_request() || standing.has_news()) {
+    while !connection.is_answering() && (connection.in_request() || connection.has_news()) {
         tokio::time::sleep(NEWS_EVERY).await;
     }
 }
