Take an answer over a connection from before a break for proof that a server lived on

Cause: a zone that was cut off, or engines that hung, come back warm, and were given a cold server's part for 6 s. By the protocol a machine that is cut off keeps its connections, and one that died resets them. Change: the transport tells since when the connection of an answer has been open, and the module clears a break that is younger. The test fails without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -113,10 +113,8 @@
 
     /// When a repeat must have been written, if that matters.
     fn repeat_before(&self) -> Option<Micros> {
-        match self.class().effect {
-            Effect::Keyed { window, .. } => self.ran().map(|ran| ran.sent + window),
-            _ => None,
-        }
+        let Effect::Keyed { window, .. } = self.class().effect else { return None };
+        self.ran().map(|ran| ran.sent + window)
     }
 
     /// Whether no further attempt can be made.
@@ -263,6 +261,7 @@
                 Event::Outcome(outcome) => self.take_outcome(outcome),
                 Event::Abandoned { id } => self.end(id, None),
                 Event::Probed { server, load } => self.take_load(*server, load),
+                Event::LivedOn { server, since } => self.live_on(*server, *since),
                 Event::Settings(settings) => self.take_settings(settings),
                 Event::Leaving { within } => self.leave(*within),
                 Event::Timer { token } => self.ticking &= *token != 0,
@@ -347,8 +346,7 @@
 
     /// Ends a request: the answer if one is owed, nothing left out, nothing left held.
     fn end(&mut self, id: &RequestId, answer: Option<Action>) {
-        let found = self.requests.get_mut(id);
-        let Some(request) = found.filter(|r| r.phase != Phase::Ended) else { return };
+        let Some(request) = self.requests.get_mut(id).filter(|r| r.phase != Phase::Ended) else { return };
         request.phase = Phase::Ended;
         let sent = !request.attempts.is_empty();
         self.actions.extend(answer);
@@ -449,12 +447,10 @@
     }
 
     fn take_first(&mut self, id: &RequestId, n: u32) {
-        let found = self.requests.get_mut(id);
-        let Some(request) = found.filter(|r| r.phase != Phase::Ended) else { return };
+        let Some(request) = self.requests.get_mut(id).filter(|r| r.phase != Phase::Ended) else { return };
         let Some(attempt) = request.attempts.get(n as usize).filter(|a| a.out) else { return };
         request.phase = Phase::Streaming(self.now);
-        let (server, sent) = (attempt.server, attempt.sent);
-        let took = seconds(self.now - sent);
+        let (server, sent, took) = (attempt.server, attempt.sent, seconds(self.now - attempt.sent));
         self.first_token_s += MEAN_STEP * (took - self.first_token_s);
         self.hear(server, sent);
     }
@@ -586,11 +582,16 @@
         self.servers.entry(id).and_modify(|server| server.broke = broke);
     }
 
-    /// A server's answer to what was sent then: if it broke since, its process has lived through that.
+    /// It has run since then: what broke after that was not its process.
+    fn live_on(&mut self, id: ServerId, since: Micros) {
+        self.servers.entry(id).and_modify(|server| _ = server.broke.take_if(|broke| since <= broke.at));
+    }
+
+    /// A server's answer to what was sent then.
     fn hear(&mut self, id: ServerId, sent: Micros) {
+        self.live_on(id, sent);
         if let Some(server) = self.servers.get_mut(&id) {
-            let since = server.broke.take().filter(|broke| sent > broke.at);
-            server.broke = since.map(|b| Break { answered: b.answered.or(Some(self.now)), ..b });
+            server.broke.iter_mut().for_each(|broke| _ = broke.answered.get_or_insert(self.now));
             (server.bar, server.heard) = (Bar::default(), self.now);
             self.zones.remove(&server.entry.zone);
             server.errors = Fading::seen(SUCCESS_LEAVES * server.errors.left(self.now, AGE_S), self.now);
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -20,7 +20,7 @@
             return;
         }
         let (server, reading) = (was.server, was.reading);
-        let Begun { replied: Replied { reply, load }, first } = match result {
+        let Begun { replied: Replied { reply, load, connected }, first } = match result {
             Ok(begun) => begun,
             Err(error) => {
                 log::info!("attempt lost request={} n={attempt} server={:08x} {error}", id.0, server.0);
@@ -30,6 +30,7 @@
             }
         };
         self.releases.hear(server, self.clock.now());
+        self.routing.tell(Event::LivedOn { server, since: self.clock.at(connected) });
         let (status, note) = match reply {
             Reply::Events(events) => {
                 was.out = Out::Untasked;
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -24,6 +24,11 @@
         self.base + self.start.elapsed().as_micros() as Micros
     }
 
+    /// That moment of the runtime's clock.
+    pub fn at(&self, moment: Instant) -> Micros {
+        self.base + moment.saturating_duration_since(self.start).as_micros() as Micros
+    }
+
     /// That time on the runtime's clock; now, if it has passed.
     pub fn instant(&self, then: Micros) -> Instant {
         Instant::now() + self.until(then)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -108,6 +108,8 @@
     pub reply: Reply<S>,
     /// The engine's report, if any.
     pub load: Load,
+    /// Since when the connection that it came over has been open.
+    pub connected: Instant,
 }
 
 /// A running answer: its pieces in order, then its end or how it broke.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -286,6 +286,13 @@
     },
     /// An attempt ended.
     Outcome(Outcome),
+    /// An answer came from a server over a connection that has been open since then: its process has run since then.
+    LivedOn {
+        /// Which server.
+        server: ServerId,
+        /// When the connection came up.
+        since: Micros,
+    },
     /// A probe ended.
     Probed {
         /// Which server was asked.
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -168,14 +168,17 @@
             let (head, body) = answer.into_parts();
             let load = head.headers.get("srv-load").map_or(Load::default(), |l| names.read(l.as_bytes()));
             if call.job.manner == Manner::Staged && head.status == StatusCode::OK {
+                let connected = channel.opened;
                 let (events, line) = (Events::new(most), Some((pool, call.endpoint, channel)));
                 let events = HttpEvents { body: Some(body), events, line };
-                return Ok(Replied { reply: Reply::Events(events), load });
+                return Ok(Replied { reply: Reply::Events(events), load, connected });
             }
             let most = if call.job.manner == Manner::Staged { SHORT_BYTES } else { most };
             let body = whole(&channel, body, most).await?;
+            let connected = channel.opened;
             pool.put(call.endpoint, channel);
-            Ok(Replied { reply: meaning(call.job.manner, head.status, declined(&head.headers), body), load })
+            let reply = meaning(call.job.manner, head.status, declined(&head.headers), body);
+            Ok(Replied { reply, load, connected })
         }
     }
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -46,6 +46,8 @@
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
     task: AbortHandle,
+    /// When it came up.
+    pub(super) opened: tokio::time::Instant,
     _counted: Counted,
 }
 
@@ -141,7 +143,7 @@
         let (sender, connection) = made.map_err(|e| lost(e.to_string()))?;
         // Its error reaches the request in hand; without one nobody misses the connection.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
-        Ok(Channel { sender, stream, meter, task, _counted: counted })
+        Ok(Channel { sender, stream, meter, task, opened: tokio::time::Instant::now(), _counted: counted })
     }
 
     /// Keeps a connection whose answer has been read to its end.
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -218,6 +218,24 @@
     assert!(after >= 10, "{after}");
 }
 
+// Cut off, a machine's open connections stay open: an answer over one shows that it never stopped, and it has its usual
+// part back at once.
+#[test]
+fn server_that_answers_over_an_old_connection_has_not_started_again() {
+    let mut h = writers_of_a_zone();
+    let old = h.now;
+    let broken = first_at(&mut h, 11, "broken");
+    h.now += 250_000;
+    h.ended(&broken, 1, Status::NoConnection);
+    h.wait(SECOND);
+    let trial = first_at(&mut h, 11, "trial");
+    h.handle(&[Event::LivedOn { server: ServerId(11), since: old }]);
+    h.first(&trial, 1);
+    h.outcome(&trial, 1, Status::Served, 0.0, Load::default());
+    let after = part_at(&mut h, 11, "after");
+    assert!(after >= 10, "{after}");
+}
+
 // One lost connection says nothing of a process that goes on to answer what it had before.
 #[test]
 fn server_that_answers_what_it_had_before_a_break_has_not_started_again() {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -85,7 +85,7 @@
             let left = VecDeque::from([Bytes::from_static(b"a"), Bytes::from_static(b"b")]);
             let events = || Pieces { left, endless: fake.endless, hangs: fake.hangs };
             let reply = if reader { Reply::Read { cached_tokens: 0.0 } } else { Reply::Events(events()) };
-            Ok(Replied { reply, load: Load::default() })
+            Ok(Replied { reply, load: Load::default(), connected: tokio::time::Instant::now() })
         }
     }
 
