Look a request's class up in one place, and write a test's chat request in one place

The tests' claims are the same. - A rename had spoilt the first line of src/net/serve.rs. Left as they are: starts of daemons and engines that look alike in several tests, and reads and writes of two kinds of stream.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -103,7 +103,7 @@
 
 impl Request {
     fn class(&self) -> &Class {
-        &self.settings.classes[self.ask.class.min(self.settings.classes.len() - 1)]
+        self.settings.class(self.ask.class)
     }
 
     /// The first attempt that may have run.
@@ -287,7 +287,7 @@
     // ---- Lifecycle and the final answer ----
 
     fn take_request(&mut self, ask: &Arrival) {
-        let class = &self.settings.classes[ask.class.min(self.settings.classes.len() - 1)];
+        let class = self.settings.class(ask.class);
         let grown = (ask.prompt_tokens / 1000.0 * class.aim_per_1000 as f64) as Micros;
         let (aim, deadline) = (class.aim + grown, class.deadline + 2 * grown);
         let session_lot = number(ask.session.as_deref().unwrap_or(&ask.id.0));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,6 +124,13 @@
     pub fall_window: Micros,
 }
 
+impl Settings {
+    /// A request's class; the last one for a place beyond them. There is one at least.
+    pub fn class(&self, place: usize) -> &Class {
+        &self.classes[place.min(self.classes.len() - 1)]
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,4 +1,4 @@
-//! The server side: connections of connections, bounded, each with a task of its own where panics stop.
+//! The server side: connections of clients, bounded, each with a task of its own where panics stop.
 
 use super::connection::{ClientBody, ClientStream, Connection, RequestInHand};
 use super::engines::HttpEvents;
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -333,6 +333,15 @@
     ask(to, "POST", "/v1/chat/completions", &headers, CHAT).await
 }
 
+/// A chat request as a client writes it.
+pub fn chat_text(id: &str, class: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\nReq-Owner: desk\r\n\
+         Req-Deadline: 9000m\r\nContent-Length: {}\r\n\r\n{CHAT}",
+        CHAT.len()
+    )
+}
+
 pub const CHAT: &str = r#"{"model":"chat","stream":true,"messages":[{"role":"user","content":"hi"}]}"#;
 
 /// A running daemon.
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -16,14 +16,6 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-fn request(id: &str, class: &str, body: &str) -> String {
-    format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\nReq-Owner: desk\r\n\
-         Req-Deadline: 9000m\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 // The time that is left was told as it stood when an attempt was decided on. What was held went first, and a dial took its
 // time: the engine went on for a client that had left.
 #[tokio::test]
@@ -110,7 +102,7 @@
         let waiting: Vec<_> = (0..24)
             .map(|n| {
                 let mut stream = std::net::TcpStream::connect(address).expect("it listens");
-                stream.write_all(request(&format!("a{n}"), "lookup", CHAT).as_bytes()).expect("written");
+                stream.write_all(chat_text(&format!("a{n}"), "lookup").as_bytes()).expect("written");
                 stream
             })
             .collect();
@@ -206,7 +198,7 @@
 /// A connection on which a request was served, and that rests.
 async fn resting(to: SocketAddr) -> TcpStream {
     let mut stream = TcpStream::connect(to).await.expect("it listens");
-    stream.write_all(request("r0", "lookup", CHAT).as_bytes()).await.expect("written");
+    stream.write_all(chat_text("r0", "lookup").as_bytes()).await.expect("written");
     let mut answer = Vec::new();
     while !answer.ends_with(b"0\r\n\r\n") {
         answer.push(stream.read_u8().await.expect("answered"));
@@ -227,7 +219,7 @@
         let discovery = Discovery::start(&[&reader, &writer]).await;
         let daemon = Daemon::start(&discovery, None).await;
         let mut stream = resting(daemon.address).await;
-        let text = request("a1", "lookup", CHAT);
+        let text = chat_text("a1", "lookup");
         stream.write_all(&text.as_bytes()[..half]).await.expect("written");
         daemon.stop.notify_one();
         tokio::time::sleep(Duration::from_millis(900)).await;
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -72,11 +72,7 @@
 /// Asks and notes when each event has come; the number of the stream tells whose they are.
 async fn read(to: SocketAddr, id: String) -> (usize, Vec<Instant>) {
     let mut stream = TcpStream::connect(to).await.expect("it listens");
-    let request = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nReq-Id: {id}\r\nReq-Kind: lookup\r\nReq-Owner: desk\r\n\
-         Content-Length: {}\r\n\r\n{CHAT}",
-        CHAT.len()
-    );
+    let request = chat_text(&id, "lookup");
     stream.write_all(request.as_bytes()).await.expect("written");
     let (mut text, mut came) = (String::new(), Vec::new());
     while !text.ends_with("\r\n0\r\n\r\n") {
@@ -113,11 +109,7 @@
         if beside_slow_readers {
             for n in 0..20 {
                 let mut stream = TcpStream::connect(to).await.expect("it listens");
-                let request = format!(
-                    "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nReq-Id: slow{n}\r\nReq-Kind: lookup\r\n\
-                     Req-Owner: desk\r\nContent-Length: {}\r\n\r\n{CHAT}",
-                    CHAT.len()
-                );
+                let request = chat_text(&format!("slow{n}"), "lookup");
                 stream.write_all(request.as_bytes()).await.expect("written");
                 idle.push(stream);
             }
