--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,8 +37,7 @@
 const SUCCESS_STEP: f64 = 0.2; // what a success takes of it
 const ERROR_MOST: f64 = 0.4; // where it is left out: errors come quickly and would draw all the work
 const PROMPTS: u32 = 200; // last ones by whose mean a call's work is weighed
-const RATE_OF: f64 = 10.0; // requests by which it is told how often they come...
-const RATE_S: f64 = 1.0; // ...and the least span
+const RATE_S: f64 = 1.0; // least span by which it is told how often requests come
 const SHARE_BURST_S: f64 = 1.0; // of its rate that a tenant may run ahead before it is past its share
 const MEAN_STEP: f64 = 0.1; // weight of a new answer in a running mean
 const READ_AHEAD_S: f64 = 1.0; // of reading that may wait at one reader, where it can't be reordered
@@ -175,7 +174,7 @@
     kept: BTreeMap<(u64, ServerId), (f64, Micros)>, // by lot and reader it was sent: tokens, and when
     prefixes: VecDeque<(u64, Micros)>,              // lots of the last requests' prefixes, and when
     waits: BTreeMap<(u32, bool), Fading>,           // by zone, cold or not: what reads lately waited
-    zones: BTreeMap<u32, (Backoff, u32)>, // to which dials went unheard, or refused so often, since one answered
+    zones: BTreeMap<u32, (Backoff, u32)>, // with dials unheard, or refused so often, since one answered
     called_off: f64, // reads, as overdue, less a part of what ended well: a jam feeds on what is read again
     ticking: bool,
     watching: bool,
@@ -643,7 +642,7 @@
             is_new,
             part: multiple * asked * zones / fleet,
             ahead: self.ahead(),
-            known: (self.prefixes.len() as f64 / RATE_OF).min(1.0),
+            known: self.prefixes.len() as f64 / PREFIXES as f64,
             draw: draw(mix(call, server.entry.started_at ^ u64::from(id.0))),
         };
         offer.is_admitted()
@@ -671,7 +670,7 @@
         self.now.saturating_sub(self.settings.fall_window + self.settings.dial_timeout)
     }
 
-    /// When a server last started, if it did lately: as listed, or as a break lets suspect until the list would tell.
+    /// When a server last started: as listed, or as a break lets suspect until the list would tell.
     fn started(&self, server: &Server) -> Micros {
         let told = |broke: &&Break| broke.answered.is_some_and(|at| self.now < at + RESTART_TOLD);
         let suspected = server.broke.as_ref().filter(told).map_or(0, |broke| broke.at);
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -1,11 +1,11 @@
 //! Slow start: what a server that has just started may be sent.
 //!
-//! Its budget is a number of calls of mean work in any sliding window, whichever routers send them. Each router has an
-//! equal quota of that and counts what it has sent, so the sum holds whatever the others do. A draw for each call keeps
-//! the usual sum well below the budget; where the quota is less than a call, it is the draws that keep to it.
+//! Its budget is a number of calls of mean work in any sliding window, whichever routers send them. Each has
+//! an equal quota of that and counts what it sent, so the sum holds whatever the others do. A draw a call
+//! keeps the usual sum well below the budget; where the quota is less than two calls, only draws bound it.
 
 const AIM: f64 = 0.6; // part of N that is aimed at; the rest is for chance
-const AHEAD_UNKNOWN: f64 = 0.75; // what is taken for `ahead` where little came yet: hot prefixes are not foreseen
+const AHEAD_UNKNOWN: f64 = 0.4; // what `ahead` is taken for where little came yet
 const SURGE: f64 = 1.5; // times what the fleet can do that may come where draws alone bound the sum
 const DEVIATIONS: f64 = 2.5; // by which their sum is kept below the budget then
 const QUOTA_LEAST: f64 = 2.0; // calls that a router is held to; less than that says less than the draws
@@ -50,7 +50,7 @@
         if quota >= QUOTA_LEAST && self.work <= quota {
             return self.sent + self.work <= quota && self.draw < self.part * (AIM * self.ahead).min(1.0);
         }
-        // Draws alone bound the sum. All that waited would come at once, and a burst is not foretold by what came.
+        // Draws alone bound the sum: all that waited would come at once, and a burst is not foretold.
         let ahead = AHEAD_UNKNOWN + self.known * (self.ahead - AHEAD_UNKNOWN);
         let most = (budget - DEVIATIONS * budget.sqrt()).max(0.0) / SURGE;
         let part = self.part * (AIM * ahead).min(most / self.calls) / self.work;
