Count a server that broke and has not answered since as just started

Each process had a break there and tried it again by itself: no quota, and no draw, was asked until the first answer had come (Router::started counted an answered break only). Now one that has not answered is cold too.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -672,9 +672,10 @@
 
     /// When a server last started: as listed, or as a break lets suspect until the list would tell.
     fn started(&self, server: &Server) -> Micros {
-        let told = |broke: &&Break| broke.answered.is_some_and(|at| self.now < at + RESTART_TOLD);
-        let suspected = server.broke.as_ref().filter(told).map_or(0, |broke| broke.at);
-        server.entry.started_at.max(suspected)
+        // One that broke and has not answered since may start at any moment, before any router is told.
+        let suspected = server.broke.as_ref().map_or(0, |broke| broke.answered.unwrap_or(self.now));
+        let told = suspected + RESTART_TOLD <= self.now;
+        server.entry.started_at.max(if told { 0 } else { suspected })
     }
 
     /// The part of its capacity that a server has at its age, if it is as slow to start as any.
