--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -281,7 +281,22 @@
     serde_json::from_value(list).map_err(|e| log::warn!("known list left out: {e}")).ok()
 }
 
+/// Refuses figures by which a server in slow start would have no bound, or a senseless one.
+fn check_slow_start(told: &Told) -> Result<(), ConfigError> {
+    let least = |field: &str, value: Option<f64>, least: f64| match value {
+        Some(value) if value < least => Err(wrong(format!("{field}: {value} is less than {least}"))),
+        _ => Ok(()),
+    };
+    least("replicasOfMe", Some(f64::from(told.replicas_of_me)), 1.0)?;
+    least("rules.coldFrom", told.rules.cold_from, 0.0)?;
+    least("rules.warmAfterMs", told.rules.warm_after_ms, 0.0)?;
+    least("rules.overloadFactor", told.rules.overload_factor, 0.0)?;
+    least("rules.fallMs", told.rules.fall_ms, 0.0)?;
+    told.projects.iter().try_for_each(|project| least("projects.quotaPerS", Some(project.quota_per_s), 0.0))
+}
+
 fn settings(told: &Told) -> Result<Settings, ConfigError> {
+    check_slow_start(told)?;
     let plain = Settings::default();
     let extra = &told.extra;
     let role = |name: &String| match name.as_str() {
@@ -404,6 +419,24 @@
         assert!(Config::decode(FILE.replacen(from, to, 1).as_bytes()).is_err());
     }
 
+    // By such figures a server in slow start would have no bound; the line names the field.
+    #[rstest]
+    #[case::no_process(r#""replicasOfMe":3"#, r#""replicasOfMe":0"#, "replicasOfMe")]
+    #[case::share_below_zero(r#""quotaPerS":15.0"#, r#""quotaPerS":-1"#, "projects.quotaPerS")]
+    #[case::cold_below_zero(r#""coldFrom":0.25"#, r#""coldFrom":-0.5"#, "rules.coldFrom")]
+    #[case::multiple_below_zero(r#""coldFrom":0.25"#, r#""overloadFactor":-2"#, "rules.overloadFactor")]
+    #[case::window_below_zero(r#""coldFrom":0.25"#, r#""fallMs":-1"#, "rules.fallMs")]
+    #[case::warm_up_below_zero(r#""coldFrom":0.25"#, r#""warmAfterMs":-1"#, "rules.warmAfterMs")]
+    fn senseless_rule_of_slow_start_is_refused_by_name(
+        #[case] from: &str,
+        #[case] to: &str,
+        #[case] field: &str,
+    ) {
+        assert!(FILE.contains(from));
+        let refused = Config::decode(FILE.replacen(from, to, 1).as_bytes()).expect_err("senseless");
+        assert!(refused.0.contains(field), "{refused}");
+    }
+
     // Routers agree without a word only if an engine has one number at all of them.
     #[test]
     fn engine_has_its_number_whatever_came_before_it() {
