--- a/src/choice.rs
+++ b/src/choice.rs
@@ -626,8 +626,8 @@
         }
         let [fleet, zones] = self.most[usize::from(reading)];
         // Readers get what has its home there, one of those left in the zone; writers all that is read in it.
-        let near = self.listed(true).filter(|(_, s)| s.entry.zone == server.entry.zone).count() as f64;
-        let asked = if reading { near } else { 1.0 };
+        let near = |(_, s): &(ServerId, &Server)| s.entry.zone == server.entry.zone;
+        let asked = if reading { self.listed(true).filter(near).count() as f64 } else { 1.0 };
         let multiple = warmth * settings.overload_factor;
         let told: f64 = settings.tenant_rates.iter().sum();
         let usual_s = if told > 0.0 { told } else { self.replicas * self.rate() };
