--- a/src/choice.rs
+++ b/src/choice.rs
@@ -91,7 +91,8 @@
     settings: Rc<Settings>, // those under which it came hold for it to its end
     session_lot: u64,
     prefix_lot: u64,
-    lot: u64, // by session and length, so that a next try draws the same
+    lot: u64,     // by session and length, so that a next try draws the same
+    own_lot: u64, // by its id too
     came: Micros,
     expires: Micros,
     aim: Micros,
@@ -251,10 +252,12 @@
         let prefix_lot = ask.prefix.as_deref().map_or(session_lot, number);
         self.prefixes.push_front((prefix_lot, self.now));
         self.prefixes.truncate(PREFIXES);
+        let lot = mix(session_lot, ask.prompt_tokens as u64);
         let request = Request {
             session_lot,
             prefix_lot,
-            lot: mix(session_lot, ask.prompt_tokens as u64),
+            lot,
+            own_lot: mix(lot, number(&ask.id.0)),
             expires: self.now + ask.expires_in,
             came: self.now,
             aim: self.now + class.aim + grown,
@@ -427,8 +430,8 @@
         let waited = load.queued_kilotokens.map(|k| k * slope).or(seen);
         let reader = self.servers.get(&server).filter(|s| s.role == Role::Read);
         if let (Some(reader), Some(waited)) = (reader, waited) {
-            let (near, before) = (self.alike(reader), self.wait_s(server));
-            self.waits.insert(near, Fading::seen(before + WAIT_STEP * (waited - before), self.now));
+            let wait = self.waits.entry(self.alike(reader)).or_default();
+            *wait = wait.toward(waited, WAIT_STEP, self.now, WAIT_FADE_S);
         }
         match status {
             Status::Read | Status::Served => {
@@ -566,8 +569,7 @@
         }
         self.outs = outs;
         let under_way = self.requests.values().filter(|r| !matches!(r.phase, Phase::Queued | Phase::Ended));
-        let tokens = under_way.map(|r| self.stream_tokens(r)).sum();
-        self.under_way.hold(self.now, tokens, AGE_S);
+        self.under_way.hold(self.now, under_way.map(|r| self.stream_tokens(r)).sum(), AGE_S);
     }
 
     fn listed(&self, reading: bool) -> impl Iterator<Item = (ServerId, &Server)> {
@@ -629,23 +631,19 @@
         let near = |(_, s): &(ServerId, &Server)| s.entry.zone == server.entry.zone;
         let asked = if reading { self.listed(true).filter(near).count() as f64 } else { 1.0 };
         let multiple = warmth * settings.overload_factor;
-        let told: f64 = settings.tenant_rates.iter().sum();
-        let usual_s = if told > 0.0 { told } else { self.replicas * self.rate() };
-        let is_new = request.came >= server.learnt.max(self.started(server))
-            && request.attempts.iter().all(|a| a.server != id);
-        let call = mix(request.lot, number(&request.ask.id.0));
-        let offer = Offer {
-            calls: multiple * usual_s / fleet * seconds(settings.fall_window),
+        Offer {
+            calls: multiple * self.usual_rate() / fleet * seconds(settings.fall_window),
             routers: self.replicas,
             sent: server.sent.since(self.window_began().max(self.started(server))),
             work: self.work(request),
-            is_new,
+            is_new: request.came >= server.learnt.max(self.started(server))
+                && request.attempts.iter().all(|a| a.server != id),
             part: multiple * asked * zones / fleet,
             ahead: self.ahead(),
             known: self.prefixes.len() as f64 / PREFIXES as f64,
-            draw: draw(mix(call, server.entry.started_at ^ u64::from(id.0))),
-        };
-        offer.is_admitted()
+            draw: draw(mix(request.own_lot, server.entry.started_at ^ u64::from(id.0))),
+        }
+        .is_admitted()
     }
 
     /// What a call of the request weighs, in calls of mean work; a short one may be of a costly class.
@@ -661,8 +659,13 @@
 
     /// A router's part of what the fleet can do, by its tenants' shares, for each request that it has.
     fn ahead(&self) -> f64 {
+        self.usual_rate() / self.replicas / self.rate()
+    }
+
+    /// Requests a second that the fleet is set up for: its tenants' shares, else what comes if all see alike.
+    fn usual_rate(&self) -> f64 {
         let told: f64 = self.settings.tenant_rates.iter().sum();
-        if told > 0.0 { told / self.replicas / self.rate() } else { 1.0 }
+        if told > 0.0 { told } else { self.replicas * self.rate() }
     }
 
     /// Since when what was sent may reach a server within one window: it may wait for its connection.
@@ -675,8 +678,7 @@
         // One that failed again and again and has not answered since may start before any router is told.
         let down = if server.backoff.fails > 1 { self.now } else { 0 };
         let suspected = server.broke.as_ref().map_or(0, |broke| broke.answered.unwrap_or(down));
-        let told = suspected + RESTART_TOLD <= self.now;
-        server.entry.started_at.max(if told { 0 } else { suspected })
+        server.entry.started_at.max(if suspected + RESTART_TOLD <= self.now { 0 } else { suspected })
     }
 
     /// The part of its capacity that a server has at its age, if it is as slow to start as any.
@@ -815,8 +817,7 @@
         let (work, began) = (self.work(&self.requests[id]), self.window_began());
         let request = self.requests.get_mut(id);
         let (Some(request), Some(known)) = (request, self.servers.get_mut(&server)) else { return };
-        known.sent.keep_since(began);
-        known.sent.add(self.now, work);
+        known.sent.add(self.now, work, began);
         let reading = known.role == Role::Read;
         if reading {
             let ask = &request.ask;
--- a/src/numeric.rs
+++ b/src/numeric.rs
@@ -146,17 +146,12 @@
 pub struct SlidingSum(VecDeque<(Micros, f64)>);
 
 impl SlidingSum {
-    /// Takes an amount in; times do not fall.
-    pub fn add(&mut self, at: Micros, amount: f64) {
-        self.0.push_back((at, amount));
-    }
-
-    /// Forgets what came before a time; whether anything is left.
-    pub fn keep_since(&mut self, at: Micros) -> bool {
-        while self.0.front().is_some_and(|(earliest, _)| *earliest < at) {
+    /// Takes an amount in, and forgets what came before a time; times do not fall.
+    pub fn add(&mut self, at: Micros, amount: f64, keep_since: Micros) {
+        while self.0.front().is_some_and(|(earliest, _)| *earliest < keep_since) {
             self.0.pop_front();
         }
-        !self.0.is_empty()
+        self.0.push_back((at, amount));
     }
 
     /// The sum of all from a time on.
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -30,7 +30,7 @@
     pub sent: f64,
     /// What the call adds to that.
     pub work: f64,
-    /// Whether it is offered the server for the first time, and as it comes, not after it has waited.
+    /// Whether it came after the server's start was known, and the server has not been sent it before.
     pub is_new: bool,
     /// Part of calls like it that would come to N if the fleet were at its capacity.
     pub part: f64,
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -3,8 +3,7 @@
 
 use crate::common::*;
 use meadowlug::interface::*;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 
 pub const SECOND: Micros = 1_000_000;
 /// When the servers start that are watched.
@@ -25,6 +24,8 @@
 const DIAL_TIMEOUT: Micros = 250_000;
 /// Work in hand, in seconds, at which a server turns requests away.
 const QUEUE_S: f64 = 1.5;
+/// When settings change, where they do.
+const RELOAD: Micros = START + 3 * SECOND;
 /// How long an answer streams.
 const STREAM: Micros = 700_000;
 
@@ -203,21 +204,16 @@
     knows: Micros,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Server {
-    busy_until: f64,
-}
-
 /// The fleet in play.
 pub struct Simulation {
     scenario: Scenario,
     draws: fastrand::Rng,
     now: Micros,
     processes: Vec<Process>,
-    servers: BTreeMap<u32, Server>,
+    /// Up to when each server is busy, in seconds.
+    servers: BTreeMap<u32, f64>,
     requests: BTreeMap<String, Request>,
-    queue: BinaryHeap<Reverse<(Micros, u64)>>,
-    happenings: BTreeMap<u64, Happening>,
+    queue: BTreeMap<(Micros, u64), Happening>,
     next: u64,
     names: u64,
     delisted: bool,
@@ -241,12 +237,22 @@
     }
 }
 
+/// When a server last started before a time, if it did.
+fn last_start(scenario: &Scenario, server: u32, at: Micros) -> Option<Micros> {
+    starts(scenario, server).into_iter().rfind(|start| *start <= at)
+}
+
+/// All servers, readers first.
+fn servers(scenario: &Scenario) -> impl Iterator<Item = u32> + use<> {
+    (0..scenario.readers).chain((0..scenario.writers).map(|n| FIRST_WRITER + n))
+}
+
 /// What a server can do at a time, in calls of mean work a second.
 pub fn capacity(scenario: &Scenario, server: u32, at: Micros) -> f64 {
     let readers_do = scenario.capacity * f64::from(scenario.readers);
     let warm =
         if server < FIRST_WRITER { scenario.capacity } else { readers_do / f64::from(scenario.writers) };
-    let started = starts(scenario, server).into_iter().rfind(|start| *start <= at);
+    let started = last_start(scenario, server, at);
     let age = started.map_or(1.0, |start| (at - start) as f64 / 1e6 / scenario.warm_after_s).min(1.0);
     warm * (scenario.cold_from + (1.0 - scenario.cold_from) * age)
 }
@@ -255,7 +261,7 @@
 pub fn budget(scenario: &Scenario, server: u32, at: Micros) -> (f64, Micros) {
     let ruled = |multiple: f64, window_s: f64| multiple * capacity(scenario, server, at) * window_s;
     let (calls, window_s) = match scenario.reload {
-        Some(Reload::Rule) if at >= START + 3 * SECOND => (ruled(2.0, 1.0), 1.0),
+        Some(Reload::Rule) if at >= RELOAD => (ruled(2.0, 1.0), 1.0),
         _ => (ruled(scenario.multiple, scenario.window_s), scenario.window_s),
     };
     (allowance(calls), (window_s * 1e6) as Micros)
@@ -269,16 +275,14 @@
 impl Simulation {
     /// Plays a scenario to its end.
     pub fn play(scenario: Scenario, seed: u64) -> Record {
-        let servers = (0..scenario.readers).chain((0..scenario.writers).map(|n| FIRST_WRITER + n));
         let mut simulation = Self {
             scenario,
             draws: fastrand::Rng::with_seed(seed),
             now: START - LEAD,
             processes: Vec::new(),
-            servers: servers.map(|id| (id, Server::default())).collect(),
+            servers: servers(&scenario).map(|id| (id, 0.0)).collect(),
             requests: BTreeMap::new(),
-            queue: BinaryHeap::new(),
-            happenings: BTreeMap::new(),
+            queue: BTreeMap::new(),
             next: 0,
             names: 0,
             delisted: false,
@@ -286,12 +290,11 @@
         };
         simulation.begin();
         let end = START + (scenario.for_s * 1e6) as Micros;
-        while let Some(Reverse((at, number))) = simulation.queue.pop() {
+        while let Some(((at, _), happening)) = simulation.queue.pop_first() {
             if at > end {
                 break;
             }
             simulation.now = at;
-            let happening = simulation.happenings.remove(&number).expect("queued once");
             simulation.happen(happening);
         }
         let open = simulation.requests.values().filter(|r| !r.answered && !r.begun);
@@ -326,19 +329,18 @@
             self.at(START + 4 * SECOND, Happening::Delist);
         }
         if self.scenario.reload.is_some() {
-            self.at(START + 3 * SECOND, Happening::Reload);
+            self.at(RELOAD, Happening::Reload);
         }
     }
 
     fn at(&mut self, at: Micros, happening: Happening) {
-        self.queue.push(Reverse((at, self.next)));
-        self.happenings.insert(self.next, happening);
+        self.queue.insert((at, self.next), happening);
         self.next += 1;
     }
 
     fn settings(&self, process: u32) -> Settings {
         let scenario = &self.scenario;
-        let reloaded = scenario.reload.filter(|_| self.now >= START + 3 * SECOND);
+        let reloaded = scenario.reload.filter(|_| self.now >= RELOAD);
         let (share, replicas) = match reloaded {
             Some(Reload::Processes) => (1.0, (scenario.processes / 2).max(1)),
             Some(Reload::Shares) => (0.5, scenario.processes),
@@ -376,8 +378,7 @@
         }
         let kind = usize::from(id >= FIRST_WRITER);
         let zone = id % FIRST_WRITER % self.scenario.zones;
-        let started_at =
-            starts(&self.scenario, id).into_iter().rfind(|start| *start <= self.now).unwrap_or(0);
+        let started_at = last_start(&self.scenario, id, self.now).unwrap_or(0);
         Some(Entry { server: ServerId(id), kind, zone, cell: zone, started_at, ..Entry::default() })
     }
 
@@ -555,7 +556,7 @@
             return self.at(self.now + after, end(Status::NoConnection));
         }
         let work = prompt / if self.scenario.varied { MEAN_VARIED_PROMPT } else { USUAL_PROMPT };
-        let start = starts(&self.scenario, server).into_iter().rfind(|start| *start <= self.now);
+        let start = last_start(&self.scenario, server, self.now);
         let told = start.is_none_or(|start| self.processes[process as usize].knows >= start);
         let session = request.ask.session.as_deref().map_or(0, meadowlug::numeric::number);
         let call = Call { at: self.now, work, process, session, attempt, told };
@@ -564,12 +565,12 @@
             return self.at(self.now + 5_000, end(Status::Reset));
         }
         let now_s = self.now as f64 / 1e6;
-        let begins_s = self.servers[&server].busy_until.max(now_s);
+        let begins_s = self.servers[&server].max(now_s);
         if begins_s - now_s > QUEUE_S {
             return self.at(self.now + 1_000, end(Status::Full));
         }
         let done_s = begins_s + work / capacity(&self.scenario, server, self.now);
-        self.servers.entry(server).and_modify(|s| s.busy_until = done_s);
+        self.servers.insert(server, done_s);
         let done = (done_s * 1e6) as Micros;
         if server < FIRST_WRITER {
             self.at(done, end(Status::Read));
@@ -620,7 +621,7 @@
     let slow = |(server, calls): (&u32, &Vec<Call>)| {
         let window = |first: usize| {
             let at = calls[first].at;
-            let start = starts(scenario, *server).into_iter().rfind(|start| *start <= at)?;
+            let start = last_start(scenario, *server, at)?;
             let after_start_s = (at - start) as f64 / 1e6;
             let (budget, length) = budget(scenario, *server, at);
             let within: Vec<_> = calls[first..].iter().take_while(|call| call.at < at + length).collect();
@@ -656,8 +657,7 @@
 /// What servers in slow start got, and the sum of N over as many windows as they were played for.
 pub fn used(scenario: &Scenario, record: &Record) -> (f64, f64) {
     let mut sums = (0.0, 0.0);
-    let all = (0..scenario.readers).chain((0..scenario.writers).map(|n| FIRST_WRITER + n));
-    for server in all.filter(|id| !starts(scenario, *id).is_empty()) {
+    for server in servers(scenario).filter(|id| !starts(scenario, *id).is_empty()) {
         let calls = record.calls.get(&server).into_iter().flatten();
         sums.0 += calls.filter(|call| call.at >= START).map(|call| call.work).sum::<f64>();
         let windows = (scenario.for_s / scenario.window_s) as u64;
