Add failing tests: a state held behind a silent send, a given-up attempt still delivered

An attempt that was written to a connection that has fallen silent counts as out although it never arrived: what the prefill server holds stays until the request's time is over. - An attempt is given up by dropping its connection (src/net/pool.rs, Channel). The system goes on to deliver what it has taken by then: a server that hung, or was cut off, begins the attempt when it reads again.

Seen: state_is_let_go_in_time_while_its_send_may_not_have_arrived fails for all three effects, nothing is released within 600 ms; attempt_that_was_given_up_is_not_delivered_later fails, all 41,181 bytes come after the client has gone. Ruled out: answer_of_a_writer_that_was_only_slow_counts_after_the_release passes as the program is.

--- a/tests/core.rs
+++ b/tests/core.rs
@@ -47,6 +47,8 @@
     breaks: Rc<Cell<usize>>,
     /// Reads and releases in the order in which they came to an engine.
     order: Rc<RefCell<Vec<&'static str>>>,
+    /// Whether writers' connections have fallen silent: what is written to them brings no answer, and no error.
+    silent_writers: Rc<Cell<bool>>,
     /// Which were probed, and the memory share that they tell.
     probed: Rc<RefCell<Vec<String>>>,
     share: Option<f64>,
@@ -77,6 +79,9 @@
             }
             fake.order.borrow_mut().push(if reader { "read" } else { "write" });
             fake.written.borrow_mut().push(call.endpoint.to_string());
+            while !reader && fake.silent_writers.get() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
             if !reader && fake.breaks.get() > 0 {
                 fake.breaks.set(fake.breaks.get() - 1);
                 fake.connects.set(false);
@@ -369,6 +374,57 @@
     .await;
 }
 
+/// A gateway with one class, of that effect, and two readers and a writer.
+fn started_with_effect(fake: &Fake, effect: Effect) -> Gateway<Fake> {
+    fake.connects.set(true);
+    let settings = Settings {
+        roles: vec![Role::Read, Role::Write],
+        classes: vec![Class { effect, ..Class::default() }],
+        let_go: 300_000,
+        ..Settings::default()
+    };
+    let (gateway, _) = start("test", settings, 1, fake.clone(), Tuning::default()).expect("lawful");
+    let ready = Condition::Ready;
+    let all = vec![listed(1, 0, "r1", ready), listed(2, 0, "r2", ready), listed(11, 1, "w1", ready)];
+    gateway.tell(change(RosterForm::Full, all)).expect("it runs");
+    gateway
+}
+
+// Open connections may fall silent with no error. The send to the writer counted as out though it had not arrived, and
+// what the reader held for the request stayed there until its time was up.
+#[rstest::rstest]
+#[case::safe(Effect::Safe)]
+#[case::keyed(Effect::Keyed { group: Group::All, window: 2_000_000 })]
+#[case::must_not_run_twice(Effect::Unsafe)]
+#[tokio::test(start_paused = true)]
+async fn state_is_let_go_in_time_while_its_send_may_not_have_arrived(#[case] effect: Effect) {
+    local(async {
+        let fake = Fake { silent_writers: Rc::new(Cell::new(true)), ..Fake::default() };
+        let gateway = started_with_effect(&fake, effect);
+        let _ticket = gateway.submit(submission("a")).expect("taken");
+        // The span of the settings, and the 300 ms that the protocol adds to it.
+        tokio::time::sleep(Duration::from_millis(300 + 300)).await;
+        assert_eq!(fake.order.borrow()[..2], ["read", "write"]);
+        assert_eq!(fake.released.borrow().len(), 1, "{:?}", fake.order);
+    })
+    .await;
+}
+
+// What is out was let go of in case it had not arrived; it had, and its writer was only slow. The answer still counts.
+#[tokio::test(start_paused = true)]
+async fn answer_of_a_writer_that_was_only_slow_counts_after_the_release() {
+    local(async {
+        let fake = Fake { silent_writers: Rc::new(Cell::new(true)), ..Fake::default() };
+        let gateway = started_with_effect(&fake, Effect::Unsafe);
+        let ticket = gateway.submit(submission("a")).expect("taken");
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        fake.silent_writers.set(false);
+        assert_eq!(pieces(ticket.answer().await).await, ["a", "b"]);
+        assert_eq!(*fake.written.borrow(), ["r1", "w1"], "sent once");
+    })
+    .await;
+}
+
 // What is open is bounded whatever comes in, and room is given back.
 #[tokio::test]
 async fn request_beyond_the_bounds_is_not_taken_until_another_ends() {
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -5,9 +5,13 @@
 use rstest::rstest;
 use serde_json::json;
 use socket2::SockRef;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
 
 /// How a client goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -118,3 +122,55 @@
     })
     .await;
 }
+
+/// An engine that takes connections but reads nothing until it is told to, with room for little. Gives how many bytes came
+/// then, and whether that was all of a request.
+async fn hung_engine(listener: TcpListener, resume: Rc<Notify>) -> (usize, bool) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    resume.notified().await;
+    let mut bytes = Vec::new();
+    // A reset is the end of what comes, too.
+    let _ = tokio::time::timeout(Duration::from_secs(2), stream.read_to_end(&mut bytes)).await;
+    let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return (bytes.len(), false) };
+    let told = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = told.and_then(|length| length.parse().ok()).expect("a length");
+    (bytes.len(), body.len() >= length)
+}
+
+// The system had taken all of an attempt but could not deliver it: its engine hung. Its client went and the attempt was
+// given up, yet the system went on to deliver it, and the engine began it for nobody when it read again.
+#[tokio::test]
+async fn attempt_that_was_given_up_is_not_delivered_later() {
+    local(async {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(4 << 10).expect("little room");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(8).expect("it listens");
+        socket.set_nonblocking(true).expect("a socket");
+        let listener = TcpListener::from_std(socket.into()).expect("a listener");
+        let writer = Engine::start("w1", "writer").await;
+        let mut reader = writer.target("SERVING");
+        reader["uid"] = json!("r1");
+        reader["model"] = json!("reader");
+        reader["endpoint"] = json!(listener.local_addr().expect("an address").to_string());
+        let discovery = Discovery::at(1, vec![reader, writer.target("SERVING")]).await;
+        let daemon = Daemon::start(&discovery, None).await;
+        let resume = Rc::new(Notify::new());
+        let engine = spawn_local(hung_engine(listener, resume.clone()));
+        let headers = "Req-Kind: lookup\r\nReq-Owner: desk\r\nReq-Deadline: 9000m\r\n";
+        let body = CHAT.replace("hi", &"x".repeat(40 << 10));
+        ask_and_go(&daemon, "/v1/chat/completions", headers, &body, Going::Closes).await;
+        until("written whole", async || {
+            let stats = ask(daemon.management, "GET", "/ops/stats", &[], "").await.body;
+            stats.contains("edge_balancer_upstream_tries 1")
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        resume.notify_one();
+        let (came, whole) = engine.await.expect("it reads");
+        assert!(!whole, "all of it came, {came} bytes, after its client had gone");
+    })
+    .await;
+}
