Check invariants as the gateway runs; one guard each for sending, repeating and closing

Cause of the failing test that is mended here: serve_connection asked, on an order to close, whether a request was half read, unread, or ever answered, but not whether one was in hand. Closing::of (src/net/closing.rs) now is the one place that decides this for every order to close, idle or to make room, and a request in hand comes first. A connection that rested is closed without reading what has come since: read and discarded, a request that crossed the close counted as read and never answered, while its client sends it again after a reset. Answers that were just written are still lingered for.

Change: - SendGuard (src/gateway/guard.rs) replaces Gate: client left, request answered, window of repeats, server not ready. It is asked before the first byte and checks what is written against the times at which each fact became known. Every request that is given up has a line with its reason.

--- a/src/bin/meadowlug-benchlink/wire.rs
+++ b/src/bin/meadowlug-benchlink/wire.rs
@@ -285,11 +285,11 @@
             writeln!(to, "DROP_ATTEMPT routerId={instance} ref={} n={attempt}", text(id))
         }
         Action::Release { id } => writeln!(to, "DROP_STATE routerId={instance} ref={}", text(id)),
-        Action::Refuse { id, retry_after } => {
+        Action::Refuse { id, retry_after, .. } => {
             let wait = milliseconds(*retry_after);
             writeln!(to, "SHED routerId={instance} ref={} waitMs={wait}", text(id))
         }
-        Action::Fail { id } => writeln!(to, "LOSE routerId={instance} ref={}", text(id)),
+        Action::Fail { id, .. } => writeln!(to, "LOSE routerId={instance} ref={}", text(id)),
         Action::Watch => writeln!(to, "TRACK routerId={instance} want=1"),
         Action::Timer { token, after } => {
             writeln!(to, "ARM routerId={instance} ctx={token} spanMs={}", milliseconds(*after))
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -322,7 +322,7 @@
         }
     }
 
-    fn give_up(&mut self, id: &RequestId) {
+    fn give_up(&mut self, id: &RequestId, reason: GiveUpReason) {
         let request = &self.requests[id];
         let safe = request.class().effect == Effect::Safe;
         let time_left = request.expires > self.now + TICK;
@@ -331,8 +331,8 @@
             return self.recall(id);
         }
         let (id, refuse) = (id.clone(), self.may_refuse(request));
-        let refusal = Action::Refuse { id: id.clone(), retry_after: RETRY_AFTER };
-        let answer = if refuse { refusal } else { Action::Fail { id: id.clone() } };
+        let refusal = Action::Refuse { id: id.clone(), reason, retry_after: RETRY_AFTER };
+        let answer = if refuse { refusal } else { Action::Fail { id: id.clone(), reason } };
         self.end(&id, Some(answer));
     }
 
@@ -350,8 +350,10 @@
         for id in self.ids(|r| !matches!(r.phase, Phase::Ended | Phase::Streaming(_))) {
             let request = &self.requests[&id];
             match request.phase {
-                _ if request.expires <= soon => self.give_up(&id),
-                Phase::Queued | Phase::Held(..) if request.is_spent(self.now) => self.give_up(&id),
+                _ if request.expires <= soon => self.give_up(&id, GiveUpReason::DeadlineReached),
+                Phase::Queued | Phase::Held(..) if request.is_spent(self.now) => {
+                    self.give_up(&id, GiveUpReason::AttemptsSpent);
+                }
                 Phase::Held(_, at) if at + request.settings.let_go <= soon => {
                     self.set_phase(&id, Phase::Queued)
                 }
@@ -475,7 +477,7 @@
         };
         self.set_phase(id, next);
         if self.requests[id].is_spent(self.now) {
-            self.give_up(id);
+            self.give_up(id, GiveUpReason::AttemptsSpent);
         }
     }
 
@@ -748,7 +750,7 @@
             let request = &self.requests[&id];
             let ready_at = self.now + micros(request.best.1 + self.first_token_s);
             if ready_at > request.hopeless {
-                self.give_up(&id);
+                self.give_up(&id, GiveUpReason::DeadlineOutOfReach);
                 continue;
             }
             // Late ones behind those still in time: an aim that is missed cannot be missed again.
@@ -762,7 +764,7 @@
                 self.send(&id, server);
             } else if !self.asks_writers(&id) && over_share {
                 // Past its tenant's share it earns little: it goes first when there is not room for all.
-                self.give_up(&id);
+                self.give_up(&id, GiveUpReason::OverShare);
             }
         }
     }
--- a/src/front/management.rs
+++ b/src/front/management.rs
@@ -3,7 +3,7 @@
 
 use super::reply;
 use crate::config::Shared;
-use crate::gateway::{Change, Gateway, News};
+use crate::gateway::{Change, Gateway, News, PREFIX};
 use crate::net::{Front, FrontBody, HttpEngines, Phase};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -18,8 +18,6 @@
 /// How long after a drain's start clients' connections are closed: the front in front of the gateways asks
 /// whether this one is ready, and needs a moment to send new ones elsewhere.
 const NOTICED: Duration = Duration::from_millis(400);
-/// What the names of the figures begin with.
-const PREFIX: &str = "edge_balancer";
 
 /// The operators' front.
 pub struct Management {
@@ -111,6 +109,7 @@
         line("in_progress", "gauge", &plain(figures.open as u64));
         line("known_engines", "gauge", &plain(figures.listed as u64));
         line("skipped_engines", "gauge", &plain(figures.avoided as u64));
+        text += &self.gateway.metrics().text();
         reply::whole(StatusCode::OK, "text/plain; version=0.0.4", text.into())
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -12,7 +12,7 @@
 pub use platform::Platform;
 
 use crate::gateway::Rejected;
-use crate::net::{Front, FrontBody, Phase};
+use crate::net::{ClosedConnection, Front, FrontBody, Phase};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -67,4 +67,8 @@
     fn contradicting(&self) -> Response<FrontBody> {
         reply::contradicting()
     }
+
+    fn closed(&self, closed: &ClosedConnection) {
+        self.platform.connection_closed(closed);
+    }
 }
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -3,9 +3,9 @@
 use super::intake::{Bodies, TOKEN_CHARS, Whole, header, request_id, span};
 use super::reply;
 use crate::config::{Names, place};
-use crate::gateway::{Fate, Gateway, Submission, Ticket};
-use crate::interface::{Arrival, Class, Micros};
-use crate::net::{FrontBody, HttpEngines, Job, Manner};
+use crate::gateway::{Fate, Gateway, Invariant, Submission, Ticket};
+use crate::interface::{Arrival, Class, Micros, RequestId};
+use crate::net::{ClosedConnection, FrontBody, HttpEngines, Job, Manner};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use std::rc::Rc;
@@ -43,6 +43,18 @@
         }
     }
 
+    /// Counts a client's connection that was closed.
+    pub(super) fn connection_closed(&self, closed: &ClosedConnection) {
+        let (number, reason) = (closed.number, closed.reason.name());
+        log::debug!("connection closed number={number} reason={reason}");
+        self.gateway.metrics().count_closed(reason);
+        if let Some(id) = &closed.unanswered {
+            let request = RequestId(Arc::from(&**id));
+            let detail = format!("connection={number} reason={reason}");
+            self.gateway.invariants().violated(Invariant::NoCloseUnanswered, &request, detail);
+        }
+    }
+
     /// Answers a chat request.
     pub(super) async fn chat(&self, request: Request<Incoming>) -> Response<FrontBody> {
         let class = self.class(request.headers());
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,10 +2,28 @@
 
 use super::dispatch::{self, Begun};
 use super::driver::{Driver, Input};
+use super::invariants::HELD_GRACE;
 use super::open_request::{Attempt, Out};
 use super::relay::{End, Relay};
-use super::{Answer, AttemptError, Call, Engines, Gate, Replied, Reply};
+use super::{Answer, AttemptError, Call, Engines, Replied, Reply, SendGuard};
 use crate::interface::*;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// An attempt's outcome in the log and among the figures.
+fn outcome_name(status: Status) -> &'static str {
+    match status {
+        Status::Served => "served",
+        Status::Read => "read",
+        Status::Error => "error",
+        Status::Full => "turned_away",
+        Status::TimedOut => "timed_out",
+        Status::NoConnection => "no_connection",
+        Status::Reset => "reset",
+        Status::Cancelled => "cancelled",
+        Status::Moot => "never_sent",
+    }
+}
 
 impl<E: Engines> Driver<E> {
     pub(super) fn take_begun(
@@ -35,6 +53,7 @@
             Reply::Events(events) => {
                 was.out = Out::Untasked;
                 open.streamed = true;
+                open.held_until.set(None);
                 let (inbox, to) = (self.sender.clone(), id.clone());
                 // A driver that has stopped needs no word of the end.
                 let report = move |end| drop(inbox.send(Input::Ended { id: to, attempt, end }));
@@ -93,7 +112,7 @@
         load: Load,
     ) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        if let Some(server) = open.over(attempt) {
+        if let Some(server) = open.over(attempt, status) {
             log::debug!(
                 "outcome request={} n={attempt} server={:08x} {status:?} note={note} share={:?} queued={:?}",
                 id.0,
@@ -102,6 +121,13 @@
                 load.queued_kilotokens
             );
             open.reached |= !matches!(status, Status::NoConnection | Status::Moot | Status::Full);
+            // What is held has its time anew from each outcome, but for those of sends that never arrived.
+            let arrived = !matches!(status, Status::NoConnection | Status::Moot);
+            if status == Status::Read || arrived && open.held_until.get().is_some() {
+                let let_go = Duration::from_micros(open.settings.let_go);
+                open.held_until.set(Some(Instant::now() + let_go + HELD_GRACE));
+            }
+            self.metrics.attempts.with_label_values(&[outcome_name(status)]).inc();
             let finished = open.answered;
             self.touched.push(id.clone());
             self.routing.tell(Event::Outcome(Outcome { id, attempt, status, finished, note, load }));
@@ -117,20 +143,31 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len() as u32;
         log::debug!("send request={} n={attempt} server={:08x}", id.0, server.0);
+        if let Some(outcome) = open.attempts.last().and_then(|last| last.outcome) {
+            let after = outcome_name(outcome);
+            self.metrics.retries.with_label_values(&[after]).inc();
+            log::debug!("next attempt request={} n={attempt} after={after}", id.0);
+        }
         let listed = self.roster.entry(server);
         let role = listed.as_ref().and_then(|l| open.settings.roles.get(l.entry.kind));
         let reading = role == Some(&Role::Read);
-        let allowed = !open.answered && attempt < open.settings.max_attempts;
+        let violated = open.violated_by_send(reading);
+        if let Some(invariant) = violated {
+            self.invariants.violated(invariant, &id, format!("n={attempt} server={:08x}", server.0));
+        }
+        let allowed = !open.answered && attempt < open.settings.max_attempts && violated.is_none();
         let task = listed.filter(|_| allowed).map(|listed| {
             let call = Call {
                 endpoint: listed.endpoint,
                 id: id.clone(),
                 job: open.job.clone(),
                 deadline: self.clock.instant(open.expires),
-                gate: Gate {
+                guard: SendGuard {
                     roster: self.roster.clone(),
+                    invariants: self.invariants.clone(),
+                    request: id.clone(),
                     server,
-                    wanted: open.wanted.clone(),
+                    lifecycle: open.lifecycle.clone(),
                     repeat_before: repeat_before.map(|until| self.clock.instant(until)),
                 },
             };
@@ -138,7 +175,8 @@
             dispatch::start(&self.engines, call, attempt, first, &self.sender)
         });
         let never_sent = task.is_none();
-        open.attempts.push(Attempt { server, reading, out: task.map_or(Out::Untasked, Out::Sent) });
+        let out = task.map_or(Out::Untasked, Out::Sent);
+        open.attempts.push(Attempt { server, reading, out, outcome: None });
         open.out += 1;
         if never_sent {
             self.attempt_over(id, attempt, Status::Moot, 0.0, Load::default());
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -7,6 +7,8 @@
 use super::figures::Counter;
 use super::handle::{CurrentSettings, Gateway};
 use super::intake::Taken;
+use super::invariants::{ANSWER_GRACE, Invariant, Invariants};
+use super::metrics::Metrics;
 use super::open_request::Open;
 use super::relay::{Departure, End, Leaving};
 use super::releases::Releases;
@@ -15,7 +17,7 @@
 use super::{Answer, AttemptError, Change, Clock, Engines, Listed, News, Tuning};
 use crate::choice::Router;
 use crate::interface::*;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,6 +51,8 @@
     pub(super) sender: mpsc::UnboundedSender<Input<E>>,
     pub(super) leaving: Leaving,
     pub(super) counter: Rc<Counter>,
+    pub(super) invariants: Invariants,
+    pub(super) metrics: Rc<Metrics>,
     pub(super) open: HashMap<RequestId, Open<E>>,
     /// Requests of which something is to be let go at the end of this turn.
     pub(super) to_release: Vec<RequestId>,
@@ -71,11 +75,13 @@
     let admission = Rc::new(RefCell::new(Admission::new(tuning.limits)));
     let engines = Rc::new(engines);
     let counter = Rc::new(Counter::new(settings.classes.len()));
+    let metrics = Rc::new(Metrics::new().map_err(|error| SettingsError(format!("figures: {error}")))?);
+    let invariants = Invariants::new(metrics.clone());
     let current: CurrentSettings = Rc::new(RefCell::new(Rc::new(settings.clone())));
     let mut driver = Driver {
         clock: Clock::default(),
         routing: Routing::new(Router::new(settings, seed)?),
-        releases: Releases::new(engines.clone(), roster.clone(), tuning.release_patience),
+        releases: Releases::new(engines.clone(), roster.clone(), tuning, invariants.clone(), metrics.clone()),
         accounting: Accounting::new(name, counter.clone()),
         engines,
         roster: roster.clone(),
@@ -86,6 +92,8 @@
         sender: sender.clone(),
         leaving: Leaving::default(),
         counter: counter.clone(),
+        invariants: invariants.clone(),
+        metrics: metrics.clone(),
         open: HashMap::new(),
         to_release: Vec::new(),
         touched: Vec::new(),
@@ -93,7 +101,18 @@
     let leaving = driver.leaving.clone();
     let callers = Rc::default();
     let settings = current;
-    let gateway = Gateway { inbox: sender, admission, roster, roles, callers, leaving, counter, settings };
+    let gateway = Gateway {
+        inbox: sender,
+        admission,
+        roster,
+        roles,
+        callers,
+        leaving,
+        counter,
+        settings,
+        invariants,
+        metrics,
+    };
     let task = tokio::task::spawn_local(async move { driver.run().await });
     Ok((gateway, task))
 }
@@ -159,12 +178,13 @@
             attempts: Vec::new(),
             out: 0,
             answered: false,
-            wanted: Rc::new(Cell::new(true)),
+            lifecycle: Rc::default(),
             streamed: false,
             reached: false,
             broken_read: false,
             release_waits: Rc::default(),
             releasing: None,
+            held_until: Rc::default(),
         };
         let ask = &taken.arrival;
         log::debug!(
@@ -189,7 +209,7 @@
         let Some(open) = self.open.get_mut(&id).filter(|open| abandoned && !open.answered) else { return };
         open.answered = true;
         // Also where attempts may not be called off: one that has not been written is not begun.
-        open.wanted.set(false);
+        open.lifecycle.mark_client_left();
         self.accounting.abandoned();
         self.touched.push(id.clone());
         self.routing.tell(Event::Abandoned { id });
@@ -239,8 +259,9 @@
             Action::Cancel { id, attempt } => self.cancel(id, attempt),
             Action::Release { id } if self.to_release.contains(&id) => {}
             Action::Release { id } => self.to_release.push(id),
-            Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused { retry_after }),
-            Action::Fail { id } => {
+            Action::Refuse { id, retry_after, reason } => self.refuse(id, retry_after, reason),
+            Action::Fail { id, reason } => {
+                self.note_given_up(&id, reason, "failed");
                 let late = |open: &Open<E>| open.expires <= now + 100_000;
                 let timed_out = self.open.get(&id).is_some_and(late);
                 self.answer(id, Answer::Failed { timed_out });
@@ -251,9 +272,33 @@
         }
     }
 
+    /// Refuses a request; fails it where a refusal would promise what is not so.
+    fn refuse(&mut self, id: RequestId, retry_after: Micros, reason: GiveUpReason) {
+        if self.open.get(&id).is_some_and(|open| !open.answered && open.refusal_is_untrue()) {
+            self.invariants.violated(Invariant::NoUntrueRefusal, &id, reason.name());
+            self.note_given_up(&id, GiveUpReason::RefusalUntrue, "failed");
+            return self.answer(id, Answer::Failed { timed_out: false });
+        }
+        self.note_given_up(&id, reason, "refused");
+        self.answer(id, Answer::Refused { retry_after });
+    }
+
+    fn note_given_up(&self, id: &RequestId, reason: GiveUpReason, how: &str) {
+        let Some(open) = self.open.get(id).filter(|open| !open.answered) else { return };
+        let (reason, attempts) = (reason.name(), open.attempts.len());
+        self.metrics.given_up.with_label_values(&[reason]).inc();
+        log::info!("given up request={} {how} reason={reason} attempts={attempts}", id.0);
+    }
+
     pub(super) fn answer(&mut self, id: RequestId, answer: Answer<E::Events>) {
+        let now = self.clock.now();
         let Some(open) = self.open.get_mut(&id).filter(|open| !open.answered) else { return };
         open.answered = true;
+        open.lifecycle.mark_answered();
+        let late_by = now.saturating_sub(open.expires);
+        if late_by > ANSWER_GRACE.as_micros() as Micros {
+            self.invariants.violated(Invariant::AnsweredInTime, &id, format!("late_ms={}", late_by / 1000));
+        }
         let class = open.class;
         let keep = match &answer {
             Answer::Whole(_) | Answer::Faulty(_) => true,
@@ -270,9 +315,13 @@
     /// Forgets the requests that have their answer and nothing out.
     fn close(&mut self) {
         for id in std::mem::take(&mut self.touched) {
-            if self.open.get(&id).is_some_and(|open| open.answered && open.out == 0) {
-                self.open.remove(&id);
+            if self.open.get(&id).is_some_and(|open| open.answered && open.out == 0)
+                && let Some(open) = self.open.remove(&id)
+            {
                 self.admission.borrow_mut().leave(&id);
+                if open.held_until.get().is_some() && open.releasing.is_none() {
+                    self.invariants.violated(Invariant::NothingHeldTooLong, &id, "never let go");
+                }
             }
         }
     }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -4,6 +4,8 @@
 use super::driver::Input;
 use super::figures::{Counter, Fate, Figures};
 use super::intake::{Caller, Rejected, Submission, Taken, Ticket};
+use super::invariants::Invariants;
+use super::metrics::Metrics;
 use super::relay::{Departure, Leaving};
 use super::roster::Roster;
 use super::{Change, Engines};
@@ -26,6 +28,8 @@
     pub(super) leaving: Leaving,
     pub(super) counter: Rc<Counter>,
     pub(super) settings: CurrentSettings,
+    pub(super) invariants: Invariants,
+    pub(super) metrics: Rc<Metrics>,
 }
 
 impl<E: Engines> Clone for Gateway<E> {
@@ -39,6 +43,8 @@
             leaving: self.leaving.clone(),
             counter: self.counter.clone(),
             settings: self.settings.clone(),
+            invariants: self.invariants.clone(),
+            metrics: self.metrics.clone(),
         }
     }
 }
@@ -109,6 +115,16 @@
         self.settings.borrow().clone()
     }
 
+    /// The checks of what no path of a request may do.
+    pub fn invariants(&self) -> &Invariants {
+        &self.invariants
+    }
+
+    /// Counters of why things happened.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// How many requests are open.
     pub fn open(&self) -> usize {
         self.admission.borrow().open()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,8 +11,11 @@
 mod dispatch;
 mod driver;
 mod figures;
+mod guard;
 mod handle;
 mod intake;
+mod invariants;
+mod metrics;
 mod open_request;
 mod relay;
 mod releases;
@@ -24,10 +27,13 @@
 pub use clock::Clock;
 pub use driver::start;
 pub use figures::{Fate, Figures, Handled};
+pub use guard::{SendGuard, SendRefusal};
 pub use handle::Gateway;
 pub use intake::{Rejected, Submission, Ticket};
+pub use invariants::{Invariant, Invariants};
+pub use metrics::{Metrics, PREFIX};
 pub use relay::{Departure, Relay};
-pub use roster::{Change, Changes, Gate, Listed, News};
+pub use roster::{Change, Changes, Listed, News};
 pub use tuning::Tuning;
 
 use crate::interface::{Load, Micros, RequestId};
@@ -128,8 +134,8 @@
     pub job: Rc<J>,
     /// Until when the gateway will wait.
     pub deadline: Instant,
-    /// Asked again right before the first byte is written.
-    pub gate: Gate,
+    /// Asked again right before the first byte is written, and told when it is.
+    pub guard: SendGuard,
 }
 
 /// The engines as the core sees them.
--- a/src/gateway/open_request.rs
+++ b/src/gateway/open_request.rs
@@ -1,10 +1,13 @@
 //! A request that has no final answer yet, or still has attempts out.
 
 use super::Engines;
-use crate::interface::{Effect, Micros, ServerId, Settings};
+use super::guard::Lifecycle;
+use super::invariants::Invariant;
+use crate::interface::{Effect, Group, Micros, ServerId, Settings, Status};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::Instant;
 
 /// Whether an attempt is out, and by what.
 pub(super) enum Out {
@@ -19,6 +22,20 @@
     pub(super) server: ServerId,
     pub(super) reading: bool,
     pub(super) out: Out,
+    /// How it ended, once it has.
+    pub(super) outcome: Option<Status>,
+}
+
+impl Attempt {
+    /// Whether it may have had the effect that its class must not have twice. A read has none, however it ends.
+    fn may_have_run(&self) -> bool {
+        let never = [Status::Full, Status::Moot, Status::NoConnection, Status::Read];
+        !self.reading && self.outcome.is_none_or(|outcome| !never.contains(&outcome))
+    }
+
+    fn is_out(&self) -> bool {
+        !matches!(self.out, Out::Over)
+    }
 }
 
 pub(super) struct Open<E: Engines> {
@@ -32,7 +49,7 @@
     pub(super) out: usize,
     pub(super) answered: bool,
     /// Whether somebody still waits for its answer; asked before an attempt is written.
-    pub(super) wanted: Rc<Cell<bool>>,
+    pub(super) lifecycle: Rc<Lifecycle>,
     /// Whether an answer has begun: engines let go of the rest by themselves.
     pub(super) streamed: bool,
     /// Whether an attempt may have come to an engine: before that nothing is held.
@@ -43,6 +60,8 @@
     pub(super) release_waits: Rc<Cell<bool>>,
     /// The release that went out last: an attempt is written only after it.
     pub(super) releasing: Option<JoinHandle<()>>,
+    /// By when what a server holds for it has to be taken or let go, if one does.
+    pub(super) held_until: Rc<Cell<Option<Instant>>>,
 }
 
 impl<E: Engines> Open<E> {
@@ -51,13 +70,34 @@
         self.settings.classes.get(self.class).is_some_and(|class| class.effect == Effect::Safe)
     }
 
+    fn effect(&self) -> Effect {
+        self.settings.classes.get(self.class).map_or(Effect::Unsafe, |class| class.effect)
+    }
+
+    /// Which invariant one more attempt would violate, after what earlier ones may have done.
+    pub(super) fn violated_by_send(&self, reading: bool) -> Option<Invariant> {
+        if self.attempts.iter().any(Attempt::is_out) {
+            return Some(Invariant::NoSecondCopy);
+        }
+        let repeats = !reading && self.effect() == Effect::Unsafe;
+        let ran = repeats && self.attempts.iter().any(Attempt::may_have_run);
+        ran.then_some(Invariant::NoUnsafeRepeat)
+    }
+
+    /// Whether a refusal would promise what is not so: that trying again is harmless.
+    pub(super) fn refusal_is_untrue(&self) -> bool {
+        let harmless = matches!(self.effect(), Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        !harmless && self.attempts.iter().any(|attempt| attempt.is_out() || attempt.may_have_run())
+    }
+
     /// Marks an attempt as over; gives its server if it was out.
-    pub(super) fn over(&mut self, attempt: u32) -> Option<ServerId> {
+    pub(super) fn over(&mut self, attempt: u32, outcome: Status) -> Option<ServerId> {
         let attempt = self.attempts.get_mut(attempt as usize)?;
-        if matches!(attempt.out, Out::Over) {
+        if !attempt.is_out() {
             return None;
         }
         attempt.out = Out::Over;
+        attempt.outcome = Some(outcome);
         self.out -= 1;
         Some(attempt.server)
     }
--- a/src/gateway/releases.rs
+++ b/src/gateway/releases.rs
@@ -1,8 +1,10 @@
 //! States and places that engines hold for a request, and letting go of them.
 
-use super::Engines;
 use super::driver::Driver;
+use super::invariants::{Invariant, Invariants};
+use super::metrics::Metrics;
 use super::roster::Roster;
+use super::{Engines, Tuning};
 use crate::interface::{Micros, RequestId, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -10,6 +12,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// A release as it is asked for.
+pub(super) struct Release {
+    pub(super) id: RequestId,
+    /// How long it waits before it is made.
+    pub(super) delay: Duration,
+    /// Cleared once it is made.
+    pub(super) waits: Rc<Cell<bool>>,
+    /// By when what is held has to be let go, if something is; cleared once it is.
+    pub(super) held_until: Rc<Cell<Option<Instant>>>,
+}
 
 /// Makes the calls that let go of what is held, at the engines surest to answer.
 pub(super) struct Releases<E: Engines> {
@@ -21,11 +35,21 @@
     heard: RefCell<HashMap<ServerId, Micros>>,
     /// Releases that no engine accepted, since they were last asked for.
     failed: Rc<Cell<u64>>,
+    invariants: Invariants,
+    metrics: Rc<Metrics>,
 }
 
 impl<E: Engines> Releases<E> {
-    pub(super) fn new(engines: Rc<E>, roster: Rc<Roster>, patience: Duration) -> Self {
-        Self { engines, roster, patience, heard: RefCell::default(), failed: Rc::default() }
+    pub(super) fn new(
+        engines: Rc<E>,
+        roster: Rc<Roster>,
+        tuning: Tuning,
+        invariants: Invariants,
+        metrics: Rc<Metrics>,
+    ) -> Self {
+        let patience = tuning.release_patience;
+        let (heard, failed) = (RefCell::default(), Rc::default());
+        Self { engines, roster, patience, heard, failed, invariants, metrics }
     }
 
     /// How many failed since this was last asked.
@@ -63,25 +87,44 @@
 
     /// Lets go of what is held for the request, at whichever engine takes the call. Whoever writes an attempt of
     /// the request waits for the task, or ends it: what that attempt leaves must stay.
-    pub(super) fn start(&self, id: RequestId, delay: Duration, waits: Rc<Cell<bool>>) -> JoinHandle<()> {
-        let engines = self.in_order_of_trust();
-        let (engine, patience, failed) = (self.engines.clone(), self.patience, self.failed.clone());
+    pub(super) fn start(&self, release: Release) -> JoinHandle<()> {
+        let endpoints = self.in_order_of_trust();
+        let (engines, patience, failed) = (self.engines.clone(), self.patience, self.failed.clone());
+        let (invariants, metrics) = (self.invariants.clone(), self.metrics.clone());
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(delay).await;
-            waits.set(false);
-            for endpoint in engines {
-                match tokio::time::timeout(patience, engine.release(endpoint.clone(), id.clone())).await {
-                    Ok(Ok(())) => return,
-                    Ok(Err(error)) => log::debug!("release request={} at={endpoint} {error}", id.0),
-                    Err(_) => log::debug!("release request={} at={endpoint} no answer in time", id.0),
-                }
+            tokio::time::sleep(release.delay).await;
+            release.waits.set(false);
+            let released = try_everywhere(&*engines, &endpoints, &release.id, patience).await;
+            let result = if released { "done" } else { "failed" };
+            metrics.releases.with_label_values(&[result]).inc();
+            if release.held_until.take().is_some_and(|until| until < Instant::now() || !released) {
+                invariants.violated(Invariant::NothingHeldTooLong, &release.id, result);
+            }
+            if !released {
+                failed.set(failed.get() + 1);
+                log::warn!("release failed everywhere request={}", release.id.0);
             }
-            failed.set(failed.get() + 1);
-            log::warn!("release failed everywhere request={}", id.0);
         })
     }
 }
 
+/// Asks one engine after the other until one lets go of what is held for a request; whether one did.
+async fn try_everywhere<E: Engines>(
+    engines: &E,
+    endpoints: &[Arc<str>],
+    id: &RequestId,
+    patience: Duration,
+) -> bool {
+    for endpoint in endpoints {
+        match tokio::time::timeout(patience, engines.release(endpoint.clone(), id.clone())).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => log::debug!("release request={} at={endpoint} {error}", id.0),
+            Err(_) => log::debug!("release request={} at={endpoint} no answer in time", id.0),
+        }
+    }
+    false
+}
+
 impl<E: Engines> Driver<E> {
     /// Lets go of what is held, at the end of a turn, or before the request is sent again. While an attempt is
     /// out the call is left out: it could take the state of a read away, and engines let go of the rest when
@@ -97,7 +140,8 @@
         }
         let delay = if late { self.tuning.release_delay } else { Duration::ZERO };
         log::debug!("release request={} answered={} out={}", id.0, open.answered, open.out);
-        let releasing = self.releases.start(id, delay, open.release_waits.clone());
+        let (waits, held_until) = (open.release_waits.clone(), open.held_until.clone());
+        let releasing = self.releases.start(Release { id, delay, waits, held_until });
         // The same call, further behind: beside an attempt that waits for the newer one alone it could overtake that.
         if let Some(earlier) = open.releasing.replace(releasing) {
             earlier.abort();
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,11 +1,11 @@
 //! Revisioned changes of settings and roster, and what the core holds of the latter.
 
 use crate::interface::{Condition, Entry, RosterForm, ServerId, Settings};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
-use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// An engine as it is listed.
@@ -52,6 +52,8 @@
 
 /// How many names of engines that are gone are kept, to know that they were listed.
 const EARLIER: usize = 1024;
+/// How long it is known of a server that is gone since when it was not to be used.
+const UNREADY_KEPT: Duration = Duration::from_secs(60);
 
 /// The list as it stands.
 #[derive(Debug, Default)]
@@ -61,6 +63,8 @@
     withheld: RefCell<BTreeSet<Arc<str>>>,
     /// Names that were listed, the oldest first.
     earlier: RefCell<VecDeque<Arc<str>>>,
+    /// Since when servers are not to be used, as it was told here; those that are gone for a while.
+    unready: RefCell<BTreeMap<ServerId, Instant>>,
 }
 
 impl Roster {
@@ -82,16 +86,43 @@
             }
         }
         let mut earlier = self.earlier.borrow_mut();
-        for (_, gone) in engines.extract_if(.., |_, l| l.entry.condition == Condition::Gone) {
+        let mut removed = Vec::new();
+        for (server, gone) in engines.extract_if(.., |_, l| l.entry.condition == Condition::Gone) {
+            removed.push(server);
             unused.push(gone.endpoint);
             earlier.retain(|name| *name != gone.name);
             earlier.push_back(gone.name);
         }
         let beyond = earlier.len().saturating_sub(EARLIER);
         earlier.drain(..beyond);
+        drop(engines);
+        self.note_unready(&removed);
         unused
     }
 
+    /// Notes which servers are not to be used from now on, those that were just removed among them.
+    fn note_unready(&self, removed: &[ServerId]) {
+        let now = Instant::now();
+        let engines = self.engines.borrow();
+        let mut unready = self.unready.borrow_mut();
+        for server in removed {
+            unready.entry(*server).or_insert(now);
+        }
+        for (server, listed) in engines.iter() {
+            if self.condition(listed) == Condition::Ready {
+                unready.remove(server);
+            } else {
+                unready.entry(*server).or_insert(now);
+            }
+        }
+        unready.retain(|server, since| engines.contains_key(server) || now < *since + UNREADY_KEPT);
+    }
+
+    /// Since when a server is not to be used, if that is so and is known.
+    pub(super) fn unready_since(&self, server: ServerId) -> Option<Instant> {
+        self.unready.borrow().get(&server).copied()
+    }
+
     /// The condition that counts: one that is withheld drains.
     fn condition(&self, listed: &Listed) -> Condition {
         match listed.entry.condition {
@@ -108,6 +139,7 @@
     /// Takes over which engines are withheld; gives the entries that change by it, as they are to be used.
     pub(super) fn withhold(&self, names: BTreeSet<Arc<str>>) -> Vec<Entry> {
         let before = self.withheld.replace(names);
+        self.note_unready(&[]);
         let withheld = self.withheld.borrow();
         let engines = self.engines.borrow();
         let changed = engines.values().filter(|l| before.contains(&l.name) != withheld.contains(&l.name));
@@ -135,7 +167,7 @@
         self.engines.borrow().values().cloned().collect()
     }
 
-    fn is_ready(&self, server: ServerId) -> bool {
+    pub(super) fn is_ready(&self, server: ServerId) -> bool {
         let engines = self.engines.borrow();
         engines.get(&server).is_some_and(|l| self.condition(l) == Condition::Ready)
     }
@@ -148,30 +180,6 @@
     }
 }
 
-/// Tells whether a request may still be sent to an engine, by the newest that was told of both.
-#[derive(Clone, Debug)]
-pub struct Gate {
-    pub(super) roster: Rc<Roster>,
-    pub(super) server: ServerId,
-    /// Whether somebody still waits for the request's answer.
-    pub(super) wanted: Rc<Cell<bool>>,
-    /// When the time is over in which a repeat is dropped, if this is one that depends on that.
-    pub(super) repeat_before: Option<Instant>,
-}
-
-impl Gate {
-    /// Why a send may not begin now.
-    pub fn closed(&self) -> Option<&'static str> {
-        if !self.wanted.get() {
-            return Some("its client has gone");
-        }
-        if self.repeat_before.is_some_and(|end| end <= Instant::now()) {
-            return Some("too late for a repeat");
-        }
-        (!self.roster.is_ready(self.server)).then_some("told to drain while connecting")
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -329,6 +329,34 @@
     },
 }
 
+/// Why a request is given up without a server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUpReason {
+    /// Its time is over.
+    DeadlineReached,
+    /// Not even the fastest way to an answer would be in time.
+    DeadlineOutOfReach,
+    /// No further attempt is allowed.
+    AttemptsSpent,
+    /// It is past its tenant's share, and there is not room for all.
+    OverShare,
+    /// The answer that was decided on would not have been true of what its attempts may have done.
+    RefusalUntrue,
+}
+
+impl GiveUpReason {
+    /// Its name in the log and among the figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::DeadlineReached => "deadline_reached",
+            Self::DeadlineOutOfReach => "deadline_out_of_reach",
+            Self::AttemptsSpent => "attempts_spent",
+            Self::OverShare => "over_share",
+            Self::RefusalUntrue => "refusal_untrue",
+        }
+    }
+}
+
 /// What the host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -362,6 +390,8 @@
     Refuse {
         /// Which request.
         id: RequestId,
+        /// Why it is given up.
+        reason: GiveUpReason,
         /// When its client had best come back.
         retry_after: Micros,
     },
@@ -369,6 +399,8 @@
     Fail {
         /// Which request.
         id: RequestId,
+        /// Why it is given up.
+        reason: GiveUpReason,
     },
     /// Ask for the roster and its changes.
     Watch,
--- /dev/null
+++ b/src/net/closing.rs
@@ -0,0 +1,79 @@
+//! The one guard for closing a client's connection, and why one was closed.
+
+use super::connection::Connection;
+use std::rc::Rc;
+
+/// What an order to close finds a connection doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Closing {
+    /// A request is being answered, or something has come that was not read: it stays open.
+    Stays,
+    /// A request has come in part: its client is told that its time is over.
+    CutsRequest,
+    /// It rests between two requests, or none ever came.
+    Rests,
+}
+
+impl Closing {
+    /// What closing the connection would do now.
+    pub(super) fn of(connection: &Connection) -> Self {
+        if connection.is_answering() {
+            // Its request was read in the very turn in which the order came.
+            Self::Stays
+        } else if connection.in_request() {
+            Self::CutsRequest
+        } else if connection.has_news() {
+            // A request or the client's own close crossed the order.
+            Self::Stays
+        } else {
+            Self::Rests
+        }
+    }
+}
+
+/// Why a connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client closed, reset, or broke the protocol.
+    Client,
+    /// The last answer on it was given, by the client's wish or since the gateway sends clients away.
+    Answered,
+    /// A request on it did not come to its end in time.
+    RequestTimeout,
+    /// It stood idle for too long.
+    Idle,
+    /// Another connection needed its place.
+    MadeRoom,
+    /// It rested when the gateway sent its clients away.
+    SentAway,
+}
+
+impl CloseReason {
+    /// Its name in the log and among the figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Client => "client",
+            Self::Answered => "answered",
+            Self::RequestTimeout => "request_timeout",
+            Self::Idle => "idle",
+            Self::MadeRoom => "made_room",
+            Self::SentAway => "sent_away",
+        }
+    }
+
+    /// Whether the connection rested between two requests: what comes on it then was not read.
+    pub(super) fn is_of_resting(self) -> bool {
+        matches!(self, Self::Idle | Self::MadeRoom | Self::SentAway)
+    }
+}
+
+/// A connection that was closed.
+#[derive(Clone, Debug)]
+pub struct ClosedConnection {
+    /// Its number among those of its listener.
+    pub number: u64,
+    /// Why it was closed.
+    pub reason: CloseReason,
+    /// The id of a request that had been read on it and got no answer though its client waits: there must be none.
+    pub unanswered: Option<Rc<str>>,
+}
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -58,6 +58,8 @@
     ended: Cell<bool>,
     /// Requests that are being answered.
     answering: Cell<usize>,
+    /// The id of the one that has no answer yet.
+    unanswered: RefCell<Option<Rc<str>>>,
     /// Whether one was.
     used: Cell<bool>,
     /// When the last byte came or the last answer ended.
@@ -81,6 +83,7 @@
             ahead_room,
             ended: Cell::new(false),
             answering: Cell::new(0),
+            unanswered: RefCell::default(),
             used: Cell::new(false),
             quiet_since: Cell::new(now),
             begun: Cell::new(now),
@@ -111,6 +114,11 @@
         self.answering.get() > 0
     }
 
+    /// The id of a request that was read and has no answer yet, unless its client has gone.
+    pub(super) fn unanswered(&self) -> Option<Rc<str>> {
+        self.unanswered.borrow().clone().filter(|_| !self.ended.get())
+    }
+
     /// Whether a request was ever answered on it.
     pub(super) fn is_used(&self) -> bool {
         self.used.get()
@@ -220,9 +228,11 @@
 pub(super) struct RequestInHand(Rc<Connection>);
 
 impl RequestInHand {
-    pub(super) fn new(connection: Rc<Connection>) -> Self {
+    /// A request of that id on that connection.
+    pub(super) fn new(connection: Rc<Connection>, id: &str) -> Self {
         connection.answering.set(connection.answering.get() + 1);
         connection.used.set(true);
+        connection.unanswered.replace(Some(Rc::from(id)));
         Self(connection)
     }
 }
@@ -246,6 +256,7 @@
 impl<B: Body> ClientBody<B> {
     pub(super) fn new(body: B, answering: RequestInHand) -> Self {
         let connection = answering.0.clone();
+        connection.unanswered.take();
         let gone = Box::pin(async move { connection.client_gone().await });
         Self { body, broken: None, gone, _answering: answering }
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,6 +4,7 @@
 
 use super::backoff::{Asking, Backoff, GRACE, Opening};
 use super::pool::{Channel, Pool, PoolLimits};
+use super::transport::WriteWatch;
 use crate::config::{List, Names, Numbers};
 use crate::gateway::{AttemptError, Change, Changes, Progress};
 use bytes::Bytes;
@@ -60,7 +61,7 @@
                 Some(channel) => channel,
                 None => self.pool.take(&self.address).await?,
             };
-            let answer = channel.send(request, 0, None).await?;
+            let answer = channel.send(request, 0, WriteWatch::default()).await?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), LIST_BYTES).collect().await;
             let body = body.map_err(|e| AttemptError::new(Progress::Written, e))?.to_bytes();
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -2,6 +2,7 @@
 
 use super::events::Events;
 use super::pool::{Channel, Pool};
+use super::transport::WriteWatch;
 use crate::config::LoadNames;
 use crate::gateway::{AttemptError, Call, Engines, EventStream, Progress, Replied, Reply};
 use crate::interface::{Load, RequestId};
@@ -159,12 +160,13 @@
         let tries = self.tries.clone();
         async move {
             let mut channel = pool.take(&call.endpoint).await?;
-            if let Some(cause) = call.gate.closed() {
+            if let Some(cause) = call.guard.refusal() {
                 pool.put(call.endpoint, channel);
                 return Err(AttemptError::new(Progress::Withdrawn, cause));
             }
             let request = call_request(&call)?;
-            let answer = channel.send(request, call.job.body.len(), Some(tries)).await?;
+            let watch = WriteWatch { guard: Some(call.guard), tally: Some(tries) };
+            let answer = channel.send(request, call.job.body.len(), watch).await?;
             let (head, body) = answer.into_parts();
             let load = head.headers.get("srv-load").map_or(Load::default(), |l| names.read(l.as_bytes()));
             if call.job.manner == Manner::Staged && head.status == StatusCode::OK {
@@ -194,7 +196,7 @@
             }
             let request = request(Method::DELETE, &endpoint, &format!("/state/{}", id.0), Bytes::new())?;
             let mut channel = pool.take(&endpoint).await?;
-            let answer = channel.send(request, 0, None).await?;
+            let answer = channel.send(request, 0, WriteWatch::default()).await?;
             let status = answer.status();
             whole(&channel, answer.into_body(), SHORT_BYTES).await?;
             pool.put(endpoint, channel);
@@ -208,7 +210,7 @@
         async move {
             let request = request(Method::GET, &endpoint, "/status/load", Bytes::new())?;
             let mut channel = pool.take(&endpoint).await?;
-            let answer = channel.send(request, 0, None).await?;
+            let answer = channel.send(request, 0, WriteWatch::default()).await?;
             let status = answer.status();
             let body = whole(&channel, answer.into_body(), SHORT_BYTES).await?;
             pool.put(endpoint, channel);
--- a/src/net/eviction.rs
+++ b/src/net/eviction.rs
@@ -54,7 +54,7 @@
 /// A connection's place among the others, for as long as it lives.
 pub(super) struct Registration {
     connections: Rc<Connections>,
-    number: u64,
+    pub(super) number: u64,
     pub(super) connection: Rc<Connection>,
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Sockets: connections to engines, discovery's watch, the server side, and signals.
 
 mod backoff;
+mod closing;
 mod connection;
 mod discovery;
 mod engines;
@@ -14,6 +15,7 @@
 mod transport;
 
 pub use backoff::Asking;
+pub use closing::{CloseReason, ClosedConnection};
 pub use discovery::Watch;
 pub use engines::{HttpEngines, HttpEvents, Job, Manner};
 pub use eviction::ServeLimits;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to engines: one request at a time each, warm ones used again, all of them bounded.
 
-use super::transport::{Meter, Wire, is_stale};
+use super::transport::{Meter, Wire, WriteWatch, is_stale};
 use crate::gateway::{AttemptError, Progress};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -58,15 +58,14 @@
 }
 
 impl Channel {
-    /// Sends one request, counted on the tally once it is written whole, and waits for the head of its
-    /// answer. Nothing is sent a second time.
+    /// Sends one request and waits for the head of its answer. Nothing is sent a second time.
     pub(super) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         body: usize,
-        tally: Option<Rc<Cell<u64>>>,
+        watch: WriteWatch,
     ) -> Result<Response<Incoming>, AttemptError> {
-        self.meter.begin(body, tally);
+        self.meter.begin(body, watch);
         let answer = self.sender.try_send_request(request).await;
         answer.map_err(|error| self.lost(error.into_error()))
     }
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,5 +1,6 @@
 //! The server side: connections of clients, bounded, each with a task of its own where panics stop.
 
+use super::closing::{CloseReason, ClosedConnection, Closing};
 use super::connection::{ClientBody, ClientStream, Connection, RequestInHand};
 use super::engines::HttpEvents;
 use super::eviction::{Connections, Registration, Room, ServeLimits};
@@ -72,6 +73,8 @@
     fn too_many(&self, request: &Request<Incoming>) -> Response<FrontBody>;
     /// Turns a request away whose head gives two lengths that contradict each other.
     fn contradicting(&self) -> Response<FrontBody>;
+    /// A connection was closed.
+    fn closed(&self, _: &ClosedConnection) {}
 }
 
 /// The body of an answer.
@@ -183,7 +186,7 @@
     }
     let service = service_fn(|request| {
         let (front, framing) = (front.clone(), connection.next_framing());
-        let answering = RequestInHand::new(connection.clone());
+        let answering = RequestInHand::new(connection.clone(), request_id(&request));
         let connection = connection.clone();
         async move {
             let mut response = match framing {
@@ -208,43 +211,64 @@
     builder.timer(TokioTimer::new()).max_buf_size(limits.buffer).keep_alive(!over && !ending);
     let io = TokioIo::new(ClientStream(connection.clone()));
     let mut served = std::pin::pin!(builder.serve_connection(io, service));
-    let result = loop {
+    let (result, reason) = loop {
         tokio::select! {
-            result = &mut served => break result,
+            result = &mut served => {
+                let reason = if result.is_ok() { CloseReason::Answered } else { CloseReason::Client };
+                break (result, reason);
+            }
             () = sent_away(&mut phase, &connection), if !ending => {
                 ending = true;
                 served.as_mut().graceful_shutdown();
+                if !connection.is_answering() {
+                    break (last_words(served.as_mut()).await, CloseReason::SentAway);
+                }
             }
-            () = connection.asked_to_close() => {
-                if connection.in_request() {
+            () = connection.asked_to_close() => match Closing::of(&connection) {
+                Closing::Stays => connection.stay(),
+                Closing::CutsRequest => {
                     // Nothing is being answered, so nothing else is being written.
                     drop(connection.stream.try_write(REQUEST_TIMEOUT));
-                    break Ok(());
-                }
-                if connection.has_news() {
-                    // A request or the client's own close crossed it.
-                    connection.stay();
-                    continue;
+                    break (Ok(()), CloseReason::RequestTimeout);
                 }
-                if !connection.is_used() {
-                    return;
+                Closing::Rests => {
+                    let awaited = connection.is_awaited();
+                    let reason = if awaited { CloseReason::MadeRoom } else { CloseReason::Idle };
+                    served.as_mut().graceful_shutdown();
+                    break (last_words(served.as_mut()).await, reason);
                 }
-                served.as_mut().graceful_shutdown();
-                break tokio::time::timeout(LAST_WORDS, served.as_mut()).await.unwrap_or(Ok(()));
             }
         }
     };
-    if let Err(error) = result {
-        log::debug!("connection ended {error}");
+    if let Err(error) = &result {
+        log::debug!("connection ended number={} {error}", registration.number);
     }
+    let unanswered = connection.unanswered().filter(|_| result.is_ok());
+    front.closed(&ClosedConnection { number: registration.number, reason, unanswered });
     connection.leave();
-    // Closed over bytes that were not read the connection would be reset, and what was written last go with it. One
-    // that lingered in the place that another is to have would have that one closed without a word.
-    if (connection.in_request() || connection.has_news()) && !connection.is_awaited() {
+    // Closed over bytes that were not read the connection would be reset, and what was written last go with it. On one
+    // that rested nothing was written last, and what has come is a request: read and not answered it would be lost, while
+    // its client sends it again after a reset. One that lingered in the place that another is to have would have that
+    // one closed without a word.
+    let unread = connection.in_request() || connection.has_news();
+    if unread && !reason.is_of_resting() && !connection.is_awaited() {
         linger(&connection.stream, limits.buffer).await;
     }
 }
 
+/// Lets a connection that rests, and was told to shut down, end in order.
+async fn last_words<T, E>(served: impl Future<Output = Result<T, E>>) -> Result<(), E> {
+    match tokio::time::timeout(LAST_WORDS, served).await {
+        Ok(Err(error)) => Err(error),
+        Ok(Ok(_)) | Err(_) => Ok(()),
+    }
+}
+
+/// The id that a client gave its request, for the log.
+fn request_id(request: &Request<Incoming>) -> &str {
+    request.headers().get("req-id").and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
 /// Waits until connections are to close after the answer in hand, and no request has come on this one, whole or in part:
 /// it would meet a reset. One that stops coming is given up as at any other time.
 async fn sent_away(phase: &mut watch::Receiver<Phase>, connection: &Connection) {
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -1,5 +1,6 @@
 //! A connection to an engine that knows how much of a request has been written to it.
 
+use crate::gateway::SendGuard;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::Shutdown;
@@ -11,6 +12,15 @@
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
+/// What is to be done as a request is written.
+#[derive(Debug, Default)]
+pub(super) struct WriteWatch {
+    /// Told when the first byte is written.
+    pub(super) guard: Option<SendGuard>,
+    /// Counts the requests that were written whole.
+    pub(super) tally: Option<Rc<Cell<u64>>>,
+}
+
 /// Counts the bytes of the request in hand that the kernel has taken.
 #[derive(Debug, Default)]
 pub(super) struct Meter {
@@ -20,14 +30,13 @@
     /// Length of the head, once it was written.
     head: Cell<Option<usize>>,
     body: Cell<usize>,
-    /// Where it is counted once its last byte was written.
-    tally: RefCell<Option<Rc<Cell<u64>>>>,
+    watch: RefCell<WriteWatch>,
 }
 
 impl Meter {
-    /// A new request with a body of that length, counted there once it was written whole.
-    pub(super) fn begin(&self, body: usize, tally: Option<Rc<Cell<u64>>>) {
-        self.tally.replace(tally);
+    /// A new request with a body of that length.
+    pub(super) fn begin(&self, body: usize, watch: WriteWatch) {
+        self.watch.replace(watch);
         self.written.set(0);
         self.matched.set(0);
         self.head.set(None);
@@ -35,6 +44,10 @@
     }
 
     fn count(&self, bytes: &[u8]) {
+        let mut watch = self.watch.borrow_mut();
+        if let Some(guard) = watch.guard.take() {
+            guard.check_written();
+        }
         if self.head.get().is_none() {
             for (at, byte) in bytes.iter().enumerate() {
                 let matched = match self.matched.get() {
@@ -50,7 +63,7 @@
         }
         self.written.set(self.written.get() + bytes.len());
         if self.is_complete()
-            && let Some(tally) = self.tally.take()
+            && let Some(tally) = watch.tally.take()
         {
             tally.set(tally.get() + 1);
         }
@@ -144,7 +157,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::{Cell, Meter, Rc};
+    use super::{Cell, Meter, Rc, WriteWatch};
     use rstest::rstest;
 
     // "Never ran" is claimed only up to the last byte: one byte less is the whole difference.
@@ -157,7 +170,7 @@
     fn meter_knows_the_last_byte(#[case] writes: &[&str], #[case] body: usize, #[case] complete: bool) {
         let meter = Meter::default();
         let tally = Rc::new(Cell::new(0));
-        meter.begin(body, Some(tally.clone()));
+        meter.begin(body, WriteWatch { guard: None, tally: Some(tally.clone()) });
         for write in writes {
             meter.count(write.as_bytes());
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -124,7 +124,7 @@
 }
 
 pub fn failed(actions: &[Action], name: &str) -> bool {
-    actions.contains(&Action::Fail { id: id(name) })
+    actions.iter().any(|a| matches!(a, Action::Fail { id: of, .. } if *of == id(name)))
 }
 
 pub fn released(actions: &[Action], name: &str) -> bool {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -68,7 +68,7 @@
             if !fake.connects.get() {
                 fake.connected.notified().await;
             }
-            if call.gate.closed().is_some() {
+            if call.guard.refusal().is_some() {
                 return Err(AttemptError::new(Progress::Withdrawn, "drains"));
             }
             let reader = call.endpoint.starts_with('r');
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -4,7 +4,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use loopback::*;
-use meadowlug::net::{Front, FrontBody, Phase, ServeLimits};
+use meadowlug::net::{ClosedConnection, Front, FrontBody, Phase, ServeLimits};
 use rstest::rstest;
 use serde_json::json;
 use std::cell::RefCell;
@@ -369,6 +369,7 @@
 #[derive(Default)]
 struct Slow {
     given: RefCell<Vec<String>>,
+    closed: RefCell<Vec<ClosedConnection>>,
 }
 
 impl Front for Slow {
@@ -389,6 +390,10 @@
     fn contradicting(&self) -> Response<FrontBody> {
         panic!("there is one length")
     }
+
+    fn closed(&self, closed: &ClosedConnection) {
+        self.closed.borrow_mut().push(closed.clone());
+    }
 }
 
 // A new connection had a resting one closed for its place, in the very turn in which a request on that one was read. The
@@ -447,6 +452,8 @@
             assert!(!given || answer.starts_with(b"HTTP/1.1 200"), "request {n} was begun and dropped");
         }
         assert!(front.given.borrow().iter().any(|id| id.starts_with("late")), "none was read at all");
+        let closed = front.closed.borrow();
+        assert!(closed.iter().all(|closed| closed.unanswered.is_none()), "{closed:?}");
         drop(new);
     })
     .await;
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -512,8 +512,8 @@
                     let name = id.0.to_string();
                     self.at(self.now + 1, Happening::End { name, attempt, status: Status::Cancelled });
                 }
-                Action::Refuse { id, retry_after } => self.refused(&id.0, retry_after),
-                Action::Fail { id } => self.answered(&id.0, |record| &mut record.failed),
+                Action::Refuse { id, retry_after, .. } => self.refused(&id.0, retry_after),
+                Action::Fail { id, .. } => self.answered(&id.0, |record| &mut record.failed),
                 Action::Timer { after, .. } => self.at(self.now + after, Happening::Tick(process)),
                 Action::Probe { .. } | Action::Release { .. } | Action::Watch => {}
             }
