Reset connections on which an attempt is given up, so that nothing of it is delivered later

Cause: a given-up attempt's connection was closed in the usual way (src/net/pool.rs, Channel). The system then goes on to deliver what it had taken: to a server that hangs or is cut off for a while, the last byte comes when it reads again. By the protocol the attempt counts from then: begun for a client that left long before, outside the window of a keyed class beside its repeat, or at a server that drains by then.

Change: a connection with a request whose answer was not read to its end is reset as it closes, which discards what was not delivered. The same mistake elsewhere: a connection whose server answered before the request had ended was put back into the pool while the rest of that request was still being written (Pool::put); it is reset now too. Connections that rest close as before.

Ruled out: the gateway's own tasks write nothing more, they are aborted with the connection.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -68,6 +68,7 @@
             if !status.is_success() {
                 return Err(AttemptError::new(Progress::Written, format!("status {status}")));
             }
+            channel.answered();
             let list = serde_json::from_slice(&body).map_err(|e| AttemptError::new(Progress::Written, e))?;
             Ok((list, channel))
         };
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -7,6 +7,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, body::Incoming};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -48,11 +49,16 @@
     task: AbortHandle,
     /// When it came up.
     pub(super) opened: tokio::time::Instant,
+    /// Whether a request was sent whose answer has not been read to its end.
+    in_use: bool,
     _counted: Counted,
 }
 
 impl Drop for Channel {
     fn drop(&mut self) {
+        if self.in_use {
+            self.discard_unsent();
+        }
         self.task.abort();
     }
 }
@@ -66,10 +72,24 @@
         watch: WriteWatch,
     ) -> Result<Response<Incoming>, AttemptError> {
         self.meter.begin(body, watch);
+        self.in_use = true;
         let answer = self.sender.try_send_request(request).await;
         answer.map_err(|error| self.lost(error.into_error()))
     }
 
+    /// The answer to what was sent has been read to its end.
+    pub(super) fn answered(&mut self) {
+        self.in_use = false;
+    }
+
+    /// Has the system reset the connection as it closes. Otherwise it goes on to deliver what it has taken: a server that
+    /// hung, or was cut off, would begin a request that was given up long before.
+    fn discard_unsent(&self) {
+        if let Err(error) = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!("connection closes without a reset {error}");
+        }
+    }
+
     /// What a break of this connection means for the request in hand.
     pub(super) fn lost(&self, cause: hyper::Error) -> AttemptError {
         let progress = if self.meter.is_complete() { Progress::Written } else { Progress::Unwritten };
@@ -142,11 +162,17 @@
         let (sender, connection) = made.map_err(|e| lost(e.to_string()))?;
         // Its error reaches the request in hand; without one nobody misses the connection.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
-        Ok(Channel { sender, stream, meter, task, opened: tokio::time::Instant::now(), _counted: counted })
+        let opened = tokio::time::Instant::now();
+        Ok(Channel { sender, stream, meter, task, opened, in_use: false, _counted: counted })
     }
 
     /// Keeps a connection whose answer has been read to its end.
     pub(super) fn put(self: &Rc<Self>, endpoint: Arc<str>, mut channel: Channel) {
+        if channel.in_use && !channel.meter.is_complete() {
+            // It was answered before its request had ended: what is left of that must not follow.
+            return;
+        }
+        channel.answered();
         let pool = self.clone();
         tokio::task::spawn_local(async move {
             let ready = tokio::time::timeout(Duration::from_secs(1), channel.sender.ready()).await;
