--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
@@ -52,7 +52,7 @@
 }
 
 /// Reads one message off a connection: its first line's words, its headers and its body.
-pub async fn message(stream: &mut TcpStream) -> Option<Seen> {
+pub async fn message(stream: &mut (impl AsyncRead + Unpin)) -> Option<Seen> {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
         text.push(stream.read_u8().await.ok()?);
