Take an interrupted call for what it is, and one failed accept for one connection

Cause: poll_read and poll_write handed EINTR on as an error of the connection (src/net/transport.rs), on which hyper ends it: streams were cut, engines' answers were lost, and client_gone took an interrupted read for a client that had left, whose request was dropped. waiting() (src/net/serve.rs) stopped at any failed accept: as a gateway closed, one connection that was gone (ECONNABORTED) had all those behind it reset with the listener; the accept loop paused 20 ms for each.

Change: interrupted calls are made again, in peeks, reads, writes and while a closed connection is read to its end. Failed accepts are told apart by accept(2): nothing waits, one connection failed, or there is no room; only the last is waited for.

--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -5,7 +5,7 @@
 use super::engines::HttpEvents;
 use super::eviction::{Connections, Registration, Room, ServeLimits};
 use super::heads::Framing;
-use super::transport::end_writing;
+use super::transport::{end_writing, is_to_be_repeated};
 use crate::gateway::{AttemptError, Relay};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
@@ -13,7 +13,9 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::io::Errno;
 use socket2::SockRef;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -28,6 +30,9 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How often it is looked whether a request that crosses the close of its connection has come.
 const NEWS_EVERY: Duration = Duration::from_millis(2);
+/// How long after an accept that found no room the next is tried, and how often one is tried as the gateway closes.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+const ACCEPT_TRIES: usize = 25;
 /// How long a connection that was asked to close may take to write out what it has.
 const LAST_WORDS: Duration = Duration::from_millis(500);
 /// How long what a client still sends after its answer is read.
@@ -143,15 +148,20 @@
         };
         match accepted {
             Ok((stream, _)) => start(stream).await,
-            Err(error) => {
-                log::warn!("accept failed {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
+            Err(error) => match AcceptFailure::from(&error) {
+                AcceptFailure::OneConnection | AcceptFailure::NoneWaiting => {
+                    log::debug!("accept failed for one connection {error}");
+                }
+                AcceptFailure::NoRoom => {
+                    log::warn!("accept failed {error}");
+                    tokio::time::sleep(ACCEPT_AGAIN).await;
+                }
+            },
         }
     }
     if *phase.borrow() == Phase::Closing {
         // The system has accepted these; closed with the listener they would be reset, and their requests lost.
-        while let Some(stream) = waiting(&listener) {
+        while let Some(stream) = waiting(&listener).await {
             start(stream).await;
         }
     }
@@ -162,12 +172,48 @@
     }
 }
 
+/// What a failed accept says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AcceptFailure {
+    /// No connection waits.
+    NoneWaiting,
+    /// That of one connection, or of the call: the next may be well.
+    OneConnection,
+    /// There is no room, in this process or the system, for any connection now.
+    NoRoom,
+}
+
+impl From<&io::Error> for AcceptFailure {
+    fn from(error: &io::Error) -> Self {
+        // What accept(2) names as without room; all else that it names is an error of the connection itself.
+        const NO_ROOM: [Errno; 4] = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+        match Errno::from_io_error(error) {
+            Some(Errno::AGAIN) => Self::NoneWaiting,
+            Some(errno) if NO_ROOM.contains(&errno) => Self::NoRoom,
+            _ => Self::OneConnection,
+        }
+    }
+}
+
 /// A connection that the system has accepted and nobody has taken yet. The system is asked itself: the runtime may not
 /// have been told of it so far.
-fn waiting(listener: &TcpListener) -> Option<TcpStream> {
-    let (socket, _) = SockRef::from(listener).accept().ok()?;
-    socket.set_nonblocking(true).ok()?;
-    TcpStream::from_std(socket.into()).ok()
+async fn waiting(listener: &TcpListener) -> Option<TcpStream> {
+    for _ in 0..ACCEPT_TRIES {
+        let accepted = SockRef::from(listener).accept().and_then(|(socket, _)| {
+            socket.set_nonblocking(true)?;
+            TcpStream::from_std(socket.into())
+        });
+        match accepted {
+            Ok(stream) => return Some(stream),
+            Err(error) => match AcceptFailure::from(&error) {
+                AcceptFailure::NoneWaiting => return None,
+                AcceptFailure::OneConnection => {}
+                AcceptFailure::NoRoom => tokio::time::sleep(ACCEPT_AGAIN).await,
+            },
+        }
+    }
+    log::warn!("connections that waited were left as the gateway closed: none could be accepted");
+    None
 }
 
 async fn serve_connection<F: Front>(
@@ -292,7 +338,7 @@
         while stream.readable().await.is_ok() {
             match stream.try_read(&mut discarded) {
                 Ok(0) => return,
-                Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+                Err(error) if !is_to_be_repeated(&error) => return,
                 _ => {}
             }
         }
@@ -300,3 +346,23 @@
     // Whoever sends for longer has had its answer.
     let _ = tokio::time::timeout(LINGER, drained).await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    // One connection that was gone before it was accepted kept all others behind it from being taken.
+    #[rstest]
+    #[case(Errno::AGAIN, AcceptFailure::NoneWaiting)]
+    #[case(Errno::CONNABORTED, AcceptFailure::OneConnection)]
+    #[case(Errno::INTR, AcceptFailure::OneConnection)]
+    #[case(Errno::PROTO, AcceptFailure::OneConnection)]
+    #[case(Errno::HOSTUNREACH, AcceptFailure::OneConnection)]
+    #[case(Errno::MFILE, AcceptFailure::NoRoom)]
+    #[case(Errno::NFILE, AcceptFailure::NoRoom)]
+    #[case(Errno::NOBUFS, AcceptFailure::NoRoom)]
+    fn failed_accept_says_whether_to_try_again(#[case] errno: Errno, #[case] expected: AcceptFailure) {
+        assert_eq!(AcceptFailure::from(&io::Error::from(errno)), expected);
+    }
+}
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -84,12 +84,21 @@
 /// Whether the other side has closed the connection or sent what nobody asked for.
 pub(super) fn is_stale(stream: &TcpStream) -> bool {
     let mut byte = [std::mem::MaybeUninit::uninit()];
-    match socket2::SockRef::from(stream).peek(&mut byte) {
-        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        Ok(_) => true,
+    loop {
+        match socket2::SockRef::from(stream).peek(&mut byte) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
+            Ok(_) => return true,
+        }
     }
 }
 
+/// Whether a call on a connection is to be made again: it was interrupted, or the poller's word was out of date. Neither
+/// says anything of the connection.
+pub(super) fn is_to_be_repeated(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// Reads from a connection that is shared with those who look at it.
 pub(super) fn poll_read(
     stream: &TcpStream,
@@ -103,7 +112,7 @@
                 buffer.advance(read);
                 return Poll::Ready(Ok(()));
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if is_to_be_repeated(&error) => {}
             Err(error) => return Poll::Ready(Err(error)),
         }
     }
@@ -118,7 +127,7 @@
     loop {
         ready!(stream.poll_write_ready(context))?;
         match stream.try_write(bytes) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if is_to_be_repeated(&error) => {}
             written => return Poll::Ready(written),
         }
     }
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -181,6 +181,11 @@
         };
         request.attempts += 1;
         request.out += 1;
+        let killed = self.killed.get(&request.gateway);
+        if killed.is_some_and(|kills| kills.iter().any(|at| *at >= request.sent)) {
+            // The system goes on to deliver what a killed process had written.
+            return;
+        }
         let held_up = first.is_none();
         let mut found = Vec::new();
         if request.left.is_some_and(|left| left + LEFT_GRACE + slack < now) {
