Have interrupted pipes, a full system and a folder that fails for a while end no process

Another process's engine out by hand stayed in use here.

Change: signals set flags (signal-hook) that are looked at every 20 ms. A folder that cannot be read leaves the gateway not ready until the orders there are known; what cannot be written down is answered 500 as before, takes nothing over, and leaves no half-written file behind.

--- a/src/config/shared.rs
+++ b/src/config/shared.rs
@@ -26,22 +26,29 @@
     /// Tells this process from the others.
     mark: Rc<str>,
     claimed: Rc<Cell<bool>>,
+    /// Whether it is known what is written down: until then an engine that is out by hand might be used.
+    known: Rc<Cell<bool>>,
     withheld: Rc<RefCell<Engines>>,
 }
 
 impl Shared {
-    /// What a gateway of that name shares in a folder below this one.
-    pub fn new(below: Option<PathBuf>, name: &str) -> io::Result<Self> {
+    /// What a gateway of that name shares in a folder below this one. A folder that cannot be read or written for a while
+    /// is no reason not to start: what is written down there is looked for until it is known.
+    pub fn new(below: Option<PathBuf>, name: &str) -> Self {
         let plain: String = name.chars().filter(char::is_ascii_alphanumeric).collect();
         let folder = below.map(|below| below.join(format!("meadowlug-{plain}")));
-        if let Some(folder) = &folder {
-            fs::create_dir_all(folder)?;
-        }
         let mark = format!("{}-{}", std::process::id(), crate::gateway::Clock::default().now());
-        let (claimed, withheld) = (Rc::default(), Rc::default());
-        let shared = Self { folder: folder.map(Rc::from), mark: mark.into(), claimed, withheld };
-        shared.look()?;
-        Ok(shared)
+        let (claimed, known, withheld) = (Rc::default(), Rc::default(), Rc::default());
+        let shared = Self { folder: folder.map(Rc::from), mark: mark.into(), claimed, known, withheld };
+        if let Err(error) = shared.look() {
+            log::warn!("orders cannot be read yet {error}");
+        }
+        shared
+    }
+
+    /// Whether what operators have ordered before is known.
+    pub fn is_known(&self) -> bool {
+        self.known.get()
     }
 
     fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
@@ -55,16 +62,33 @@
     /// Writes a file so that whoever reads it finds it whole.
     fn write(&self, file: &str, text: &[u8]) -> io::Result<()> {
         let Some(folder) = &self.folder else { return Ok(()) };
+        fs::create_dir_all(folder)?;
         let new = folder.join(format!("{file}.{}", self.mark));
-        fs::write(&new, text)?;
-        fs::rename(new, folder.join(file))
+        let written = fs::write(&new, text).and_then(|()| fs::rename(&new, folder.join(file)));
+        if written.is_err() {
+            // What was written of it takes room; where even that fails it is written over the next time.
+            let _ = fs::remove_file(new);
+        }
+        written
+    }
+
+    /// The engines that are out by hand as it is written down, if it is.
+    fn written_down(&self) -> io::Result<Option<Engines>> {
+        let Some(text) = self.read(WITHHELD)? else { return Ok(None) };
+        match serde_json::from_slice::<Vec<String>>(&text) {
+            Ok(names) => Ok(Some(names.into_iter().map(Arc::from).collect())),
+            Err(error) => {
+                log::error!("orders written down make no sense, none of them holds {error}");
+                Ok(None)
+            }
+        }
     }
 
     /// Takes over what is written down; whether that differs from what was known.
     fn look(&self) -> io::Result<bool> {
-        let Some(text) = self.read(WITHHELD)? else { return Ok(false) };
-        let names: Vec<String> = serde_json::from_slice(&text)?;
-        let names: Engines = names.into_iter().map(Arc::from).collect();
+        let written_down = self.written_down()?;
+        self.known.set(true);
+        let Some(names) = written_down else { return Ok(false) };
         let differs = *self.withheld.borrow() != names;
         self.withheld.replace(names);
         Ok(differs)
@@ -77,8 +101,8 @@
 
     /// Takes an engine out by hand, or back into use, and writes that down.
     pub fn withhold(&self, name: &str, out: bool) -> io::Result<()> {
-        self.look()?;
-        let mut names = self.withheld();
+        // Taken over only with what is ordered here: another process's order is told on by whoever looks for it.
+        let mut names = self.written_down()?.unwrap_or_else(|| self.withheld());
         if out {
             names.insert(name.into());
         } else {
@@ -155,7 +179,7 @@
     #[tokio::test(start_paused = true)]
     async fn order_holds_in_both_processes() {
         let folder = tempfile::tempdir().expect("a folder");
-        let process = || Shared::new(Some(folder.path().into()), "n/3").expect("it can be read");
+        let process = || Shared::new(Some(folder.path().into()), "n/3");
         let old = process();
         old.withhold("s-1", true).expect("written");
         let new = process();
@@ -171,11 +195,43 @@
         assert_eq!(out(old_orders.next().await), Vec::<String>::new());
     }
 
+    // An order that could not be written down took in another process's, which was never told on: the engine was used.
+    #[tokio::test(start_paused = true)]
+    async fn order_of_another_process_holds_though_one_here_fails() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let process = || Shared::new(Some(folder.path().into()), "n3");
+        let (old, new) = (process(), process());
+        let mut orders = Orders::new(new.clone());
+        assert_eq!(out(orders.next().await), Vec::<String>::new());
+        old.withhold("s-1", true).expect("written");
+        // Nothing can be written where a folder stands.
+        let in_the_way = folder.path().join("meadowlug-n3").join(format!("{WITHHELD}.{}", new.mark));
+        fs::create_dir(&in_the_way).expect("a folder");
+        assert!(new.withhold("s-2", true).is_err());
+        assert_eq!(out(orders.next().await), ["s-1"]);
+        fs::remove_dir(in_the_way).expect("it is empty");
+        new.withhold("s-2", true).expect("written");
+        assert_eq!(new.withheld().len(), 2);
+    }
+
+    // A folder that could not be made just then ended the program at its start.
+    #[test]
+    fn folder_that_cannot_be_used_yet_is_no_reason_not_to_start() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let place = folder.path().join("meadowlug-n3");
+        fs::write(&place, "in the way").expect("a file");
+        let shared = Shared::new(Some(folder.path().into()), "n3");
+        assert!(!shared.is_known() && shared.withhold("s-1", true).is_err());
+        fs::remove_file(&place).expect("a file");
+        assert!(shared.look().is_ok() && shared.is_known());
+        shared.withhold("s-1", true).expect("written");
+    }
+
     // A process that stops must know whether another takes the clients that it turns away.
     #[test]
     fn process_knows_its_successor() {
         let folder = tempfile::tempdir().expect("a folder");
-        let process = |name| Shared::new(Some(folder.path().into()), name).expect("it can be read");
+        let process = |name| Shared::new(Some(folder.path().into()), name);
         let (old, new, other) = (process("n3"), process("n3"), process("n4"));
         assert!(!old.is_superseded());
         old.claim().expect("written");
@@ -183,7 +239,7 @@
         assert!(!old.is_superseded());
         new.claim().expect("written");
         assert!(old.is_superseded() && !new.is_superseded());
-        let alone = Shared::new(None, "n3").expect("nothing to read");
+        let alone = Shared::new(None, "n3");
         alone.claim().expect("nothing to write");
         assert!(!alone.is_superseded());
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -121,7 +121,7 @@
 fn claim_when_ready(chat: &Gateway<HttpEngines>, shared: &config::Shared) {
     let (chat, shared) = (chat.clone(), shared.clone());
     tokio::task::spawn_local(async move {
-        while !chat.can_serve() {
+        while !(shared.is_known() && chat.can_serve()) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         if let Err(error) = shared.claim() {
@@ -220,6 +220,7 @@
         platform: Platform::new(chat.clone(), config.names, bodies.clone()),
         inference: models.map(|models| Inference::new(models, bodies, stamp)),
         phase: phases.clone(),
+        shared: shared.clone(),
     };
     log::info!("serving name={} listen={}", config.name, listener.local_addr()?);
     let limits = ServeLimits {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -11,6 +11,7 @@
 pub use management::Management;
 pub use platform::Platform;
 
+use crate::config::Shared;
 use crate::gateway::Rejected;
 use crate::net::{ClosedConnection, Front, FrontBody, Phase};
 use bytes::Bytes;
@@ -26,12 +27,14 @@
     pub inference: Option<Inference>,
     /// How far a planned stop has come.
     pub phase: watch::Receiver<Phase>,
+    /// What operators have ordered before has to be known first.
+    pub shared: Shared,
 }
 
 impl Fronts {
     fn ready(&self) -> Response<FrontBody> {
         // Chat alone decides: a model of the other front that is down is no reason to turn chat away.
-        if *self.phase.borrow() == Phase::Serving && self.platform.can_serve() {
+        if *self.phase.borrow() == Phase::Serving && self.shared.is_known() && self.platform.can_serve() {
             reply::json(StatusCode::OK, Bytes::from_static(b"{\"ready\":true}"))
         } else {
             reply::error(StatusCode::SERVICE_UNAVAILABLE, "not ready to serve")
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
 
 async fn serve() -> Result<(), Box<dyn Error>> {
     // First of all: a signal that nobody waits for ends the process.
-    let (stop, reload_asked) = (net::stop_asked()?, net::reload_asked()?);
+    let (stop, reload_asked) = net::Signals::listen()?.split();
     let path = std::env::var_os("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
     let config = Config::decode(&std::fs::read(&path)?)?;
     let inference = match std::env::var_os("MEADOWLUG_INFERENCE") {
@@ -23,15 +23,15 @@
     };
     let listener = match std::env::var("BALANCER_INHERITED_FD") {
         Ok(number) => tokio::net::TcpListener::from_std(net::inherited(&number)?)?,
-        Err(_) => tokio::net::TcpListener::bind(&config.listen).await?,
+        Err(_) => net::bind(&config.listen).await?,
     };
     let management = match config.management.clone().or(std::env::var("BALANCER_MANAGEMENT").ok()) {
-        Some(address) => Some(tokio::net::TcpListener::bind(address).await?),
+        Some(address) => Some(net::bind(&address).await?),
         None => None,
     };
     // Only where operators give orders, or a new version can take over, is there something to share.
     let folder = std::env::var_os("TMPDIR").filter(|_| management.is_some()).map(Into::into);
-    let operation = daemon::Operation { management, shared: Shared::new(folder, &config.name)? };
+    let operation = daemon::Operation { management, shared: Shared::new(folder, &config.name) };
     let reload = Reload::new(path.into(), &config, reload_asked);
     daemon::run(config, inference, Some(reload), listener, operation, stop).await
 }
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,27 +1,63 @@
 //! The signals that ask for a planned stop or for the configuration to be read again.
+//!
+//! Their handlers only set flags, which are looked at from time to time: a pipe from the handler to the event loop would be
+//! one more thing to read, and a read may be interrupted.
 
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::flag;
 use std::io;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
 
-/// Passes on each SIGHUP, which asks for the configuration to be read again.
-pub fn reload_asked() -> io::Result<mpsc::Receiver<()>> {
-    let mut hangups = signal(SignalKind::hangup())?;
-    let (ask, asked) = mpsc::channel(1);
-    tokio::task::spawn_local(
-        async move { while hangups.recv().await.is_some() && ask.send(()).await.is_ok() {} },
-    );
-    Ok(asked)
+/// How often it is looked whether a signal has come.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// What signals ask for, from the moment at which they are listened for.
+pub struct Signals {
+    stop: oneshot::Receiver<()>,
+    reload: mpsc::Receiver<()>,
 }
 
-/// Waits until the process is asked to stop, from the call on: a signal that comes before the wait counts.
-pub fn stop_asked() -> io::Result<impl Future<Output = ()>> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    Ok(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+impl Signals {
+    /// Listens for SIGTERM and SIGINT, which ask for a stop, and SIGHUP. Needs a local set.
+    pub fn listen() -> io::Result<Self> {
+        let (stopping, hung_up) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        for signal in [SIGTERM, SIGINT] {
+            flag::register(signal, stopping.clone())?;
         }
-    })
+        flag::register(SIGHUP, hung_up.clone())?;
+        let (ask_stop, stop) = oneshot::channel();
+        let (ask_reload, reload) = mpsc::channel(1);
+        tokio::task::spawn_local(async move {
+            let mut ask_stop = Some(ask_stop);
+            loop {
+                tokio::time::sleep(LOOK_EVERY).await;
+                if hung_up.swap(false, Ordering::Relaxed) {
+                    // One that is asked for already reads what is there when it begins.
+                    let _ = ask_reload.try_send(());
+                }
+                if stopping.load(Ordering::Relaxed)
+                    && let Some(ask_stop) = ask_stop.take()
+                {
+                    // Nobody is left to ask when the daemon has returned.
+                    let _ = ask_stop.send(());
+                }
+            }
+        });
+        Ok(Self { stop, reload })
+    }
+
+    /// What waits for a stop, and what tells of each order to read the configuration again. A signal that came before
+    /// the wait counts.
+    pub fn split(self) -> (impl Future<Output = ()>, mpsc::Receiver<()>) {
+        let stop = async move {
+            if self.stop.await.is_err() {
+                // Nobody looks for signals any more.
+                std::future::pending::<()>().await;
+            }
+        };
+        (stop, self.reload)
+    }
 }
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -422,7 +422,7 @@
         let address = listener.local_addr().expect("an address");
         let operators = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let management = operators.local_addr().expect("an address");
-        let shared = Shared::new(None, "n0").expect("nothing to read");
+        let shared = Shared::new(None, "n0");
         let operation = Operation { management: Some(operators), shared };
         let stop = Rc::new(Notify::new());
         let asked = stop.clone();
