Refuse what comes too late in a stop, end what still comes before the kill, and get releases through

- Departure::take_until: where clients do not ask for the rest of an answer, a request that ends over 0.6 s after the order to stop is refused with Retry-After, with nothing begun.
A stream of it could outlive the process, and by the protocol is lost if its request came over 0.7 s after the order.
- Phase::Ended: once every request that was taken has its answer, what still comes is told 408 or 503 and closed, in its head or its body, before the process is killed.
- Releases go round the servers again for a second, with one connection in sixteen, one at least, kept for them (PoolLimits::reserved).
A stop waits for those on their way, to its last 20 ms, in place of 0.3 s whatever was open.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -17,13 +17,17 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-/// What is let go after the last answer still has to reach an engine.
-const LAST_RELEASES: Duration = Duration::from_millis(300);
+/// How often it is looked, after the last answer, whether all that servers hold was let go; and how long that may begin
+/// to be let go after it.
+const LAST_LOOK_EVERY: Duration = Duration::from_millis(5);
+const LAST_RELEASES: Duration = Duration::from_millis(50);
 /// How long a call of an operator may stand still, and how long it may take.
 const CALL_STALL: Duration = Duration::from_millis(800);
 const CALL: Duration = Duration::from_secs(2);
 /// Most bytes of one that are kept.
 const CALL_BYTES: usize = 8 << 10;
+/// Which part of the connections to engines is kept for calls that let states go.
+const RESERVED_PART: usize = 16;
 /// How often idle connections are looked at.
 const RETIRE_EVERY: Duration = Duration::from_secs(1);
 /// How long a client's connection may stand still in a request, or before its first; and idle between two,
@@ -171,6 +175,7 @@
     let bounds = Bounds::from(config.resources);
     let pool = Pool::new(PoolLimits {
         connections: bounds.engine_connections,
+        reserved: (bounds.engine_connections / RESERVED_PART).max(1),
         buffer: bounds.buffer,
         dial_timeout: config.dial_timeout,
         idle: config.idle_limit / 2,
@@ -215,7 +220,7 @@
         };
         serve_operators(listener, front, bounds.management);
     }
-    let bodies = Rc::new(Bodies::new(bounds.reading_bytes));
+    let bodies = Rc::new(Bodies::new(bounds.reading_bytes, phases.clone()));
     let fronts = Fronts {
         platform: Platform::new(chat.clone(), config.names, bodies.clone()),
         inference: models.map(|models| Inference::new(models, bodies, stamp)),
@@ -249,8 +254,25 @@
         tokio::time::sleep(plan.serve_for).await;
         phase.send_replace(Phase::Closing);
     }
-    served.await?;
-    tokio::time::sleep(LAST_RELEASES).await;
+    let mut served = served;
+    tokio::select! {
+        served = &mut served => served?,
+        () = tokio::time::sleep_until(plan.departure.answers_by) => {
+            // Whatever has not come to its end by now would come to a process that is being killed.
+            phase.send_replace(Phase::Ended);
+            served.await?;
+        }
+    }
+    end_releases(&gateways, plan.ends_by).await;
     log::info!("stopped open={}", chat.open());
     Ok(())
 }
+
+/// Waits until all that servers hold for requests was let go, or the process has to end.
+async fn end_releases(gateways: &[Gateway<HttpEngines>], by: Instant) {
+    tokio::time::sleep(LAST_RELEASES).await;
+    let is_busy = |gateway: &Gateway<HttpEngines>| gateway.open() > 0 || gateway.is_releasing();
+    while gateways.iter().any(is_busy) && Instant::now() < by {
+        tokio::time::sleep(LAST_LOOK_EVERY).await;
+    }
+}
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -11,6 +11,8 @@
 const KILLED_AFTER: Duration = Duration::from_millis(700);
 /// How long before that the last answer is given.
 const ANSWERED_BEFORE: Duration = Duration::from_millis(300);
+/// How long before that the process ends, also where something is still being let go.
+const ENDED_BEFORE: Duration = Duration::from_millis(20);
 /// For how long new connections and requests are still taken, in any case and as a part of the longest
 /// deadline: another gateway may be restarting just then.
 const LEAVING: Duration = Duration::from_millis(500);
@@ -27,6 +29,8 @@
     pub(super) departure: Departure,
     /// For how long new connections and requests are still taken.
     pub(super) serve_for: Duration,
+    /// By when the process ends, whatever is left.
+    pub(super) ends_by: Instant,
 }
 
 impl StopPlan {
@@ -38,11 +42,12 @@
         let end = counted + KILLED_AFTER;
         let (first, last) = (end.mul_f64(HAND_OVER.0), end.mul_f64(HAND_OVER.1));
         let departure = Departure {
+            take_until: (!resume).then_some(asked + LEAVING_WHOLE),
             answers_by: asked + end - ANSWERED_BEFORE,
             hand_over: resume.then_some((asked + first, last - first)),
         };
         let serve_for = LEAVING + counted.mul_f64(LEAVING_PART);
         let serve_for = if resume { serve_for } else { serve_for.min(LEAVING_WHOLE) };
-        Self { departure, serve_for }
+        Self { departure, serve_for, ends_by: asked + end - ENDED_BEFORE }
     }
 }
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -3,7 +3,7 @@
 use super::reply;
 use crate::gateway::Rejected;
 use crate::interface::{Micros, RequestId};
-use crate::net::FrontBody;
+use crate::net::{FrontBody, Phase};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 
 /// Characters of a token.
 pub(super) const TOKEN_CHARS: usize = 4;
@@ -32,12 +32,23 @@
 }
 
 /// Bounds the bytes of all bodies that are being read: many at once could hold more than there is.
-pub struct Bodies(Semaphore);
+pub struct Bodies {
+    room: Semaphore,
+    phase: watch::Receiver<Phase>,
+}
 
 impl Bodies {
-    /// Room for so many bytes.
-    pub fn new(bytes: usize) -> Self {
-        Self(Semaphore::new(bytes))
+    /// Room for so many bytes; none is read any more once the gateway's stop has ended.
+    pub fn new(bytes: usize, phase: watch::Receiver<Phase>) -> Self {
+        Self { room: Semaphore::new(bytes), phase }
+    }
+
+    /// Waits until no more is to be read.
+    async fn ended(&self) {
+        if self.phase.clone().wait_for(|phase| *phase == Phase::Ended).await.is_err() {
+            // Nobody is left to end anything.
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Reads a request within its bounds of size and time.
@@ -50,10 +61,15 @@
             return Err(long());
         }
         let most = told.upper().unwrap_or(BODY_BYTES as u64);
-        let Ok(_room) = self.0.try_acquire_many(most as u32) else {
+        let Ok(_room) = self.room.try_acquire_many(most as u32) else {
             return Err(reply::rejection(Rejected::Busy));
         };
-        let body = match tokio::time::timeout(BODY_PATIENCE, whole(body, told.lower() as usize)).await {
+        let read = tokio::time::timeout(BODY_PATIENCE, whole(body, told.lower() as usize));
+        let read = tokio::select! {
+            read = read => read,
+            () = self.ended() => return Err(reply::rejection(Rejected::Stopped)),
+        };
+        let body = match read {
             Ok(Ok(body)) => body,
             Ok(Err(Cut::Long)) => return Err(long()),
             Ok(Err(Cut::Broken)) => {
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -44,7 +44,7 @@
     pub(super) settings: CurrentSettings,
     pub(super) tuning: Tuning,
     pub(super) routing: Routing,
-    pub(super) releases: Releases<E>,
+    pub(super) releases: Rc<Releases<E>>,
     pub(super) accounting: Accounting,
     pub(super) admission: Rc<RefCell<Admission<E::Events>>>,
     pub(super) inbox: mpsc::UnboundedReceiver<Input<E>>,
@@ -78,10 +78,13 @@
     let metrics = Rc::new(Metrics::new().map_err(|error| SettingsError(format!("figures: {error}")))?);
     let invariants = Invariants::new(metrics.clone());
     let current: CurrentSettings = Rc::new(RefCell::new(Rc::new(settings.clone())));
+    let releases =
+        Releases::new(engines.clone(), roster.clone(), tuning, invariants.clone(), metrics.clone());
+    let releases = Rc::new(releases);
     let mut driver = Driver {
         clock: Clock::default(),
         routing: Routing::new(Router::new(settings, seed)?),
-        releases: Releases::new(engines.clone(), roster.clone(), tuning, invariants.clone(), metrics.clone()),
+        releases: releases.clone(),
         accounting: Accounting::new(name, counter.clone()),
         engines,
         roster: roster.clone(),
@@ -112,6 +115,7 @@
         settings,
         invariants,
         metrics,
+        releasing: releases.pending(),
     };
     let task = tokio::task::spawn_local(async move { driver.run().await });
     Ok((gateway, task))
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -30,6 +30,8 @@
     pub(super) settings: CurrentSettings,
     pub(super) invariants: Invariants,
     pub(super) metrics: Rc<Metrics>,
+    /// How many releases are on their way.
+    pub(super) releasing: Rc<Cell<usize>>,
 }
 
 impl<E: Engines> Clone for Gateway<E> {
@@ -45,6 +47,7 @@
             settings: self.settings.clone(),
             invariants: self.invariants.clone(),
             metrics: self.metrics.clone(),
+            releasing: self.releasing.clone(),
         }
     }
 }
@@ -54,6 +57,9 @@
     pub fn submit(&self, submission: Submission<E::Job>) -> Result<Ticket<E>, Rejected> {
         let Submission { mut arrival, job, size, key } = submission;
         if let Some(departure) = self.leaving.get() {
+            if departure.take_until.is_some_and(|until| until <= Instant::now()) {
+                return Err(Rejected::Stopped);
+            }
             let left = departure.answers_by.saturating_duration_since(Instant::now());
             arrival.expires_in = arrival.expires_in.min(left.as_micros() as Micros);
         }
@@ -125,6 +131,11 @@
         &self.metrics
     }
 
+    /// Whether something that servers hold is still being let go.
+    pub fn is_releasing(&self) -> bool {
+        self.releasing.get() > 0
+    }
+
     /// How many requests are open.
     pub fn open(&self) -> usize {
         self.admission.borrow().open()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,6 +26,8 @@
 /// How the core leaves when the gateway is asked to stop.
 #[derive(Clone, Copy, Debug)]
 pub struct Departure {
+    /// From when on no request is taken any more, where its answer could still run when the process is killed.
+    pub take_until: Option<Instant>,
     /// By when every request has its final answer.
     pub answers_by: Instant,
     /// From when on and within what span running answers are ended, where clients ask for the rest: the
--- a/src/gateway/releases.rs
+++ b/src/gateway/releases.rs
@@ -14,6 +14,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+/// How long after a round in which no engine took a release the next begins, and for how long rounds are begun.
+const NEXT_ROUND: Duration = Duration::from_millis(25);
+const TRIED_FOR: Duration = Duration::from_secs(1);
+
 /// A release as it is asked for.
 pub(super) struct Release {
     pub(super) id: RequestId,
@@ -34,7 +38,8 @@
     /// When each engine last answered: a release goes first to the one surest to run.
     heard: RefCell<HashMap<ServerId, Micros>>,
     /// Releases that no engine accepted, since they were last asked for.
-    failed: Rc<Cell<u64>>,
+    failed: Cell<u64>,
+    pending: Rc<Cell<usize>>,
     invariants: Invariants,
     metrics: Rc<Metrics>,
 }
@@ -48,8 +53,8 @@
         metrics: Rc<Metrics>,
     ) -> Self {
         let patience = tuning.release_patience;
-        let (heard, failed) = (RefCell::default(), Rc::default());
-        Self { engines, roster, patience, heard, failed, invariants, metrics }
+        let (heard, failed, pending) = (RefCell::default(), Cell::default(), Rc::default());
+        Self { engines, roster, patience, heard, failed, pending, invariants, metrics }
     }
 
     /// How many failed since this was last asked.
@@ -85,44 +90,70 @@
         engines.into_iter().map(|(_, endpoint)| endpoint).collect()
     }
 
+    /// How many are on their way.
+    pub(super) fn pending(&self) -> Rc<Cell<usize>> {
+        self.pending.clone()
+    }
+
     /// Lets go of what is held for the request, at whichever engine takes the call. Whoever writes an attempt of
     /// the request waits for the task, or ends it: what that attempt leaves must stay.
-    pub(super) fn start(&self, release: Release) -> JoinHandle<()> {
-        let endpoints = self.in_order_of_trust();
-        let (engines, patience, failed) = (self.engines.clone(), self.patience, self.failed.clone());
-        let (invariants, metrics) = (self.invariants.clone(), self.metrics.clone());
+    pub(super) fn start(self: &Rc<Self>, release: Release) -> JoinHandle<()> {
+        let releases = self.clone();
+        let pending = Pending::new(&self.pending);
         tokio::task::spawn_local(async move {
+            let _pending = pending;
             tokio::time::sleep(release.delay).await;
             release.waits.set(false);
-            let released = try_everywhere(&*engines, &endpoints, &release.id, patience).await;
-            let result = if released { "done" } else { "failed" };
-            metrics.releases.with_label_values(&[result]).inc();
-            if release.held_until.take().is_some_and(|until| until < Instant::now() || !released) {
-                invariants.violated(Invariant::NothingHeldTooLong, &release.id, result);
-            }
-            if !released {
-                failed.set(failed.get() + 1);
-                log::warn!("release failed everywhere request={}", release.id.0);
-            }
+            releases.make(&release).await;
         })
     }
-}
 
-/// Asks one engine after the other until one lets go of what is held for a request; whether one did.
-async fn try_everywhere<E: Engines>(
-    engines: &E,
-    endpoints: &[Arc<str>],
-    id: &RequestId,
-    patience: Duration,
-) -> bool {
-    for endpoint in endpoints {
-        match tokio::time::timeout(patience, engines.release(endpoint.clone(), id.clone())).await {
-            Ok(Ok(())) => return true,
-            Ok(Err(error)) => log::debug!("release request={} at={endpoint} {error}", id.0),
-            Err(_) => log::debug!("release request={} at={endpoint} no answer in time", id.0),
+    async fn make(&self, release: &Release) {
+        let until = Instant::now() + TRIED_FOR;
+        let mut released = self.try_everywhere(&release.id).await;
+        while !released && Instant::now() < until {
+            tokio::time::sleep(NEXT_ROUND).await;
+            released = self.try_everywhere(&release.id).await;
+        }
+        let result = if released { "done" } else { "failed" };
+        self.metrics.releases.with_label_values(&[result]).inc();
+        if release.held_until.take().is_some_and(|until| until < Instant::now() || !released) {
+            self.invariants.violated(Invariant::NothingHeldTooLong, &release.id, result);
+        }
+        if !released {
+            self.failed.set(self.failed.get() + 1);
+            log::warn!("release failed everywhere request={}", release.id.0);
+        }
+    }
+
+    /// Asks one engine after the other until one lets go of what is held for a request; whether one did.
+    async fn try_everywhere(&self, id: &RequestId) -> bool {
+        for endpoint in self.in_order_of_trust() {
+            let call = self.engines.release(endpoint.clone(), id.clone());
+            match tokio::time::timeout(self.patience, call).await {
+                Ok(Ok(())) => return true,
+                Ok(Err(error)) => log::debug!("release request={} at={endpoint} {error}", id.0),
+                Err(_) => log::debug!("release request={} at={endpoint} no answer in time", id.0),
+            }
         }
+        false
+    }
+}
+
+/// Counts a release for as long as it is on its way, also where it is ended before its time.
+struct Pending(Rc<Cell<usize>>);
+
+impl Pending {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
-    false
 }
 
 impl<E: Engines> Driver<E> {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -40,7 +40,8 @@
 
 impl Source {
     fn new(address: Arc<str>, backoff: Backoff) -> Self {
-        let limits = PoolLimits { connections: 2, buffer: BUFFER, dial_timeout: GRACE, idle: WAIT };
+        let limits =
+            PoolLimits { connections: 2, reserved: 0, buffer: BUFFER, dial_timeout: GRACE, idle: WAIT };
         Self { address, pool: Pool::new(limits), channel: None, revision: None, backoff }
     }
 
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -195,7 +195,7 @@
                 return Ok(());
             }
             let request = request(Method::DELETE, &endpoint, &format!("/state/{}", id.0), Bytes::new())?;
-            let mut channel = pool.take(&endpoint).await?;
+            let mut channel = pool.take_for_release(&endpoint).await?;
             let answer = channel.send(request, 0, WriteWatch::default()).await?;
             let status = answer.status();
             whole(&channel, answer.into_body(), SHORT_BYTES).await?;
--- a/src/net/eviction.rs
+++ b/src/net/eviction.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Has all closed on which no request is being answered.
+    pub(super) fn close_all(&self) {
+        for connection in self.all.borrow().values().filter(|connection| !connection.is_answering()) {
+            connection.ask_to_close();
+        }
+    }
+
     /// Has those closed that were quiet for too long.
     pub(super) fn close_overdue(&self) {
         for connection in self.all.borrow().values().filter(|s| s.is_overdue(&self.limits)) {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -21,6 +21,8 @@
 pub struct PoolLimits {
     /// Connections to all engines together.
     pub connections: usize,
+    /// How many of them are kept for calls that let states go.
+    pub reserved: usize,
     /// Most bytes of an answer's head, and of what is buffered for a connection.
     pub buffer: usize,
     /// How long one may take to come up.
@@ -115,18 +117,27 @@
         Rc::new(Self { limits, open: Rc::default(), idle: RefCell::default() })
     }
 
-    /// A warm connection, or a new one.
+    /// A warm connection, or a new one, for an attempt.
     pub(super) async fn take(&self, endpoint: &Arc<str>) -> Result<Channel, AttemptError> {
+        self.take_within(endpoint, self.limits.connections.saturating_sub(self.limits.reserved)).await
+    }
+
+    /// The same for a call that lets a state go: attempts that wait must not keep it from being made.
+    pub(super) async fn take_for_release(&self, endpoint: &Arc<str>) -> Result<Channel, AttemptError> {
+        self.take_within(endpoint, self.limits.connections).await
+    }
+
+    async fn take_within(&self, endpoint: &Arc<str>, most: usize) -> Result<Channel, AttemptError> {
         while let Some(idle) = self.pop(endpoint) {
             let old = idle.since.elapsed() >= self.limits.idle;
             if !old && idle.channel.sender.is_ready() && !is_stale(&idle.channel.stream) {
                 return Ok(idle.channel);
             }
         }
-        if self.open.get() >= self.limits.connections {
+        if self.open.get() >= most {
             self.close_one_idle();
         }
-        if self.open.get() >= self.limits.connections {
+        if self.open.get() >= most {
             return Err(AttemptError::new(Progress::Unconnected, "all connections are in use"));
         }
         self.connect(endpoint).await
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -56,17 +56,19 @@
     Closing,
     /// The same where another process takes clients on the same socket: what waits there is left to it.
     Superseded,
+    /// All that was taken has its answer; what still comes is ended.
+    Ended,
 }
 
 impl Phase {
     /// Whether the process was asked to stop.
     pub fn is_stop(self) -> bool {
-        matches!(self, Self::Leaving | Self::Closing | Self::Superseded)
+        matches!(self, Self::Leaving | Self::Closing | Self::Superseded | Self::Ended)
     }
 
     /// Whether new connections are no longer taken.
     fn is_closed(self) -> bool {
-        matches!(self, Self::Closing | Self::Superseded)
+        matches!(self, Self::Closing | Self::Superseded | Self::Ended)
     }
 }
 
@@ -168,6 +170,9 @@
     drop(listener);
     while connections.open() > 0 {
         tokio::time::sleep(Duration::from_millis(10)).await;
+        if *phase.borrow() == Phase::Ended {
+            connections.close_all();
+        }
         connections.close_overdue();
     }
 }
