Add a failing test: a withdrawn send gives a held state its time anew

Cause: take_outcome (src/choice.rs) keeps the time at which a state began to be held only after a refused dial; after a send that was withdrawn, since its server was told to drain or its client left while it connected, it counts from now. A send that has not arrived does not stop that clock. The test fails for Moot and passes for NoConnection.

--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -543,3 +543,17 @@
         assert!(reader.len() == 1 && reader[0] < 10 && writer[0] > 10, "{writer:?} {actions:?}");
     }
 }
+
+// A send that was withdrawn before it was written, since its writer was told to drain, gave the state that it was to fetch
+// its whole time anew.
+#[test]
+fn time_of_a_held_state_runs_on_over_sends_that_never_left() {
+    for status in [Status::Moot, Status::NoConnection] {
+        let mut h = Harness::new(Settings { let_go: 300_000, ..settings() }, &[1, 2, 11, 12]);
+        h.ask(arrival("a"));
+        h.read("a", 0);
+        h.wait(200_000);
+        assert_eq!(sends(&h.ended("a", 1, status), "a").len(), 1, "to the other writer");
+        assert!(released(&h.wait(100_000), "a"), "{status:?}");
+    }
+}
