--- a/src/choice.rs
+++ b/src/choice.rs
@@ -492,7 +492,7 @@
             (Status::Full, _) if note >= 1.0 => Phase::Queued,
             // While no connection comes up the time of what is held runs on: not for a second long dial.
             (_, Phase::Writing(_)) if unheard => Phase::Queued,
-            (NoConnection, Phase::Writing(Source::State(reader, held))) => Phase::Held(reader, held),
+            (NoConnection | Moot, Phase::Writing(Source::State(reader, held))) => Phase::Held(reader, held),
             (_, Phase::Writing(Source::State(reader, _))) => Phase::Held(reader, self.now),
             _ => Phase::Queued,
         };
--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -553,7 +553,9 @@
         h.ask(arrival("a"));
         h.read("a", 0);
         h.wait(200_000);
-        assert_eq!(sends(&h.ended("a", 1, status), "a").len(), 1, "to the other writer");
-        assert!(released(&h.wait(100_000), "a"), "{status:?}");
+        let mut actions = h.ended("a", 1, status);
+        assert_eq!(sends(&actions, "a").len(), 1, "it goes on");
+        actions.extend(h.wait(100_000));
+        assert!(released(&actions, "a"), "{status:?}");
     }
 }
