Add failing tests: a stepped wall clock and slow start, and clashing numbers of servers

Causes, found by mapping the terms to their paths: - A server's start comes as Unix time (src/config/list.rs, boot_ms) and is compared with the gateway's clock, which is Unix time at its own start and monotonic from then on (src/gateway/clock.rs). Tuning::wall_clock is where the test has the clock stepped. - Numbers::of (src/config/list.rs) looks a uid up from its hash on. Where another uid with that hash was removed, the one that had taken the next number gets the first, and the roster keeps it under its own as well, serving for good.

--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -168,4 +168,26 @@
         let told: Vec<_> = engines.iter().map(|e| (&*e.name, e.entry.condition)).collect();
         assert_eq!(told, [("s-1", Condition::Draining)]);
     }
+
+    // Two servers whose uids share a hash were listed, and the first was removed. The other got the first one's number with
+    // its next change, while what was known of it stayed under its own: told to drain, it was still sent to.
+    #[test]
+    fn server_keeps_its_number_when_one_that_it_clashed_with_goes() {
+        const CLASHING: [&str; 2] = ["s-000179bb", "s-00054848"];
+        let target = |uid: &str, state: &str| serde_json::json!({"uid": uid, "endpoint": "e", "model": "k", "state": state});
+        let names = Names { kinds: vec!["k".into()], ..Names::default() };
+        let mut numbers = Numbers::default();
+        let mut told = |targets: Vec<serde_json::Value>| {
+            let list = serde_json::json!({"rev": 1, "all": false, "targets": targets});
+            let list: List = serde_json::from_value(list).expect("a list");
+            match list.change(&names, &mut numbers).news {
+                News::Roster { engines, .. } => engines.iter().map(|l| l.entry.server).collect::<Vec<_>>(),
+                _ => panic!("no roster"),
+            }
+        };
+        let both = told(CLASHING.map(|uid| target(uid, "SERVING")).to_vec());
+        assert_ne!(both[0], both[1]);
+        told(vec![target(CLASHING[0], GONE)]);
+        assert_eq!(told(vec![target(CLASHING[1], "DRAINING")]), [both[1]]);
+    }
 }
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -4,6 +4,12 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
+/// Unix time as the machine has it now, in microseconds.
+pub(super) fn wall_now() -> Micros {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    unix.as_micros() as Micros
+}
+
 /// Microseconds of Unix time that never go back.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -13,8 +19,7 @@
 
 impl Default for Clock {
     fn default() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Self { base: unix.as_micros() as Micros, start: Instant::now() }
+        Self { base: wall_now(), start: Instant::now() }
     }
 }
 
--- a/src/gateway/tuning.rs
+++ b/src/gateway/tuning.rs
@@ -1,6 +1,7 @@
 //! Figures of the core that are not the decision module's.
 
 use super::Limits;
+use crate::interface::Micros;
 use std::time::Duration;
 
 /// Figures of the core that are not the module's.
@@ -24,6 +25,8 @@
     pub report_every: Duration,
     /// How often it is looked which engines are avoided.
     pub look_every: Duration,
+    /// Unix time as the machine has it now, which may be stepped.
+    pub wall_clock: fn() -> Micros,
 }
 
 impl Default for Tuning {
@@ -43,6 +46,7 @@
             closing: Duration::from_millis(10),
             report_every: Duration::from_secs(10),
             look_every: Duration::from_millis(200),
+            wall_clock: super::clock::wall_now,
         }
     }
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -570,3 +570,59 @@
     })
     .await;
 }
+
+thread_local! {
+    /// By how many microseconds the wall clock of a test was stepped.
+    static STEP: Cell<i64> = const { Cell::new(0) };
+}
+
+fn stepped_clock() -> Micros {
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    (unix.as_micros() as u64).saturating_add_signed(STEP.get())
+}
+
+/// How many of 40 requests go to the second of two writers.
+async fn share_of_second_writer(gateway: &Gateway<Fake>, fake: &Fake, name: &str) -> usize {
+    let before = fake.written.borrow().len();
+    for n in 0..40 {
+        pieces(gateway.submit(submission(&format!("{name}{n}"))).expect("taken").answer().await).await;
+    }
+    fake.written.borrow()[before..].iter().filter(|to| *to == "w2").count()
+}
+
+// The wall clock was stepped under a running gateway. A server that started after that, an hour ago by the clock of before,
+// was taken for a warm one and got its full share at once; one that started in an hour never became warm.
+#[rstest::rstest]
+#[case::back(-3_600)]
+#[case::ahead(3_600)]
+#[tokio::test(start_paused = true)]
+async fn server_starts_slowly_and_becomes_warm_though_the_wall_clock_was_stepped(#[case] step_s: i64) {
+    local(async {
+        let fake = Fake::default();
+        fake.connects.set(true);
+        let settings = Settings {
+            roles: vec![Role::Read, Role::Write],
+            classes: vec![Class::default()],
+            warm_after: 5_000_000,
+            ..Settings::default()
+        };
+        let tuning = Tuning { wall_clock: stepped_clock, ..Tuning::default() };
+        let (gateway, _) = start("test", settings, 1, fake.clone(), tuning).expect("lawful");
+        let ready = Condition::Ready;
+        let all = vec![listed(1, 0, "r1", ready), listed(11, 1, "w1", ready)];
+        gateway.tell(change(RosterForm::Full, all)).expect("it runs");
+        share_of_second_writer(&gateway, &fake, "before").await;
+        STEP.set(step_s * 1_000_000);
+        let mut started = listed(12, 1, "w2", ready);
+        started.entry.started_at = stepped_clock();
+        gateway.tell(change(RosterForm::Delta, vec![started.clone()])).expect("it runs");
+        let cold = share_of_second_writer(&gateway, &fake, "cold").await;
+        // Time goes on by the monotonic clock; a whole list tells the same start again.
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        let again = vec![listed(1, 0, "r1", ready), listed(11, 1, "w1", ready), started];
+        gateway.tell(change(RosterForm::Full, again)).expect("it runs");
+        let warm = share_of_second_writer(&gateway, &fake, "warm").await;
+        assert!(cold < 12 && warm > 12, "{cold} of 40 while cold, {warm} when warm");
+    })
+    .await;
+}
