Follow stepped wall clocks in slow start; keep a server's number whatever it clashed with

- Roster::note_starts works a told start out on the gateway's own clock when it is first listed, from how long ago it is by the machine's clock at that moment (Clock::of_wall), and keeps that for as long as the same start is listed.
A later step changes nothing, a step before it is followed, and a start in the future is taken for now, so that warming up ends.
- Numbers keeps the number of each listed uid.
Looking a uid up in a list is no longer quadratic in the list's length.

Ruled out: other uses of the wall clock are the log's times, a process's mark and seeds, none of which is compared with a span.

--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -3,7 +3,7 @@
 use crate::gateway::{Change, Listed, News};
 use crate::interface::{Condition, Entry, Micros, RosterForm, ServerId};
 use serde::Deserialize;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 /// The state of an engine that is no longer listed.
@@ -70,27 +70,39 @@
 /// are no longer listed are not kept: new ones come for as long as the gateway runs.
 #[derive(Debug, Default)]
 pub struct Numbers {
-    taken: HashMap<u32, String>,
+    by_uid: HashMap<String, u32>,
+    taken: HashSet<u32>,
 }
 
 impl Numbers {
+    /// The number that a uid has for as long as it is listed, whatever becomes of those that it clashed with.
     pub(super) fn of(&mut self, uid: &str) -> ServerId {
+        if let Some(number) = self.by_uid.get(uid) {
+            return ServerId(*number);
+        }
         let hash = |h: u32, byte: u8| (h ^ u32::from(byte)).wrapping_mul(0x0100_0193);
         let mut number = uid.bytes().fold(0x811c_9dc5, hash);
-        while self.taken.get(&number).is_some_and(|other| other != uid) {
+        while !self.taken.insert(number) {
             number = number.wrapping_add(1);
         }
-        self.taken.entry(number).or_insert_with(|| uid.to_owned());
+        self.by_uid.insert(uid.to_owned(), number);
         ServerId(number)
     }
 
     /// Whether the engine is listed as things were told.
     pub fn knows(&self, target: &Target) -> bool {
-        self.taken.values().any(|uid| *uid == target.uid)
+        self.by_uid.contains_key(&target.uid)
     }
 
     fn keep(&mut self, which: impl Fn(&str) -> bool) {
-        self.taken.retain(|_, uid| which(uid));
+        let taken = &mut self.taken;
+        self.by_uid.retain(|uid, number| {
+            let kept = which(uid);
+            if !kept {
+                taken.remove(number);
+            }
+            kept
+        });
     }
 }
 
@@ -137,8 +149,8 @@
             form: if self.all { RosterForm::Full } else { RosterForm::Delta },
             engines: self.targets.iter().filter_map(|t| t.listed(names, numbers)).collect(),
         };
-        let told = |uid: &str| self.targets.iter().find(|t| t.uid == uid);
-        numbers.keep(|uid| told(uid).map_or(!self.all, |target| target.state != GONE));
+        let told: HashMap<&str, &Target> = self.targets.iter().map(|t| (t.uid.as_str(), t)).collect();
+        numbers.keep(|uid| told.get(uid).map_or(!self.all, |target| target.state != GONE));
         Change { revision: self.rev, news }
     }
 }
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -34,6 +34,12 @@
         self.base + moment.saturating_duration_since(self.start).as_micros() as Micros
     }
 
+    /// A moment that was told in Unix time, on this clock: as long ago as it is by the machine's clock now, which may have
+    /// been stepped since this one began. One that is still to come by that clock is taken for now.
+    pub fn of_wall(&self, then: Micros, wall_now: Micros) -> Micros {
+        self.now().saturating_sub(wall_now.saturating_sub(then))
+    }
+
     /// That time on the runtime's clock; now, if it has passed.
     pub fn instant(&self, then: Micros) -> Instant {
         Instant::now() + self.until(then)
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -233,6 +233,8 @@
                 for endpoint in self.roster.apply(form, &engines) {
                     self.engines.forget(&endpoint);
                 }
+                let wall_now = (self.tuning.wall_clock)();
+                self.roster.note_starts(&engines, |told| self.clock.of_wall(told, wall_now));
                 self.releases.forget_unlisted();
                 let entries = engines.iter().map(|listed| self.roster.as_used(listed)).collect();
                 self.routing.tell(Event::Roster { form, entries });
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,6 +1,6 @@
 //! Revisioned changes of settings and roster, and what the core holds of the latter.
 
-use crate::interface::{Condition, Entry, RosterForm, ServerId, Settings};
+use crate::interface::{Condition, Entry, Micros, RosterForm, ServerId, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
@@ -65,6 +65,17 @@
     earlier: RefCell<VecDeque<Arc<str>>>,
     /// Since when servers are not to be used, as it was told here; those that are gone for a while.
     unready: RefCell<BTreeMap<ServerId, Instant>>,
+    /// When listed servers started, where that is told.
+    starts: RefCell<BTreeMap<ServerId, Start>>,
+}
+
+/// When a server started.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    /// As it is listed, in Unix time.
+    told: Micros,
+    /// On the gateway's own clock, as worked out when it was first listed: the machine's clock may be stepped after that.
+    at: Micros,
 }
 
 impl Roster {
@@ -131,9 +142,25 @@
         }
     }
 
+    /// Notes when servers started that are listed, with what gives a told time on the gateway's clock.
+    pub(super) fn note_starts(&self, listed: &[Listed], on_own_clock: impl Fn(Micros) -> Micros) {
+        let mut starts = self.starts.borrow_mut();
+        for Entry { server, started_at: told, .. } in listed.iter().map(|listed| &listed.entry) {
+            let known = starts.get(server).is_some_and(|start| start.told == *told);
+            if *told > 0 && !known {
+                starts.insert(*server, Start { told: *told, at: on_own_clock(*told).max(1) });
+            } else if *told == 0 {
+                starts.remove(server);
+            }
+        }
+        let engines = self.engines.borrow();
+        starts.retain(|server, _| engines.contains_key(server));
+    }
+
     /// An entry as it is to be used.
     pub(super) fn as_used(&self, listed: &Listed) -> Entry {
-        Entry { condition: self.condition(listed), ..listed.entry.clone() }
+        let started_at = self.starts.borrow().get(&listed.entry.server).map_or(0, |start| start.at);
+        Entry { condition: self.condition(listed), started_at, ..listed.entry.clone() }
     }
 
     /// Takes over which engines are withheld; gives the entries that change by it, as they are to be used.
