Check sends to servers in slow start against the quota as the gateway runs

The decision module checks each send again after it was counted: beyond the quota of its server's window it is noted, and the event loop counts it as a violation of slow_start_quota. One function gives the quota to the guard and to the check.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 
 use crate::interface::*;
 use crate::numeric::*;
-use crate::slow_start::Offer;
+use crate::slow_start::{self, Offer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -196,6 +196,7 @@
     now: Micros,         // the call in hand: its time, what is out, what is to be done
     outs: BTreeMap<ServerId, Out>,
     actions: Vec<Action>,
+    over_quota: Vec<(RequestId, ServerId)>, // sends beyond the quota of a server in slow start: there must be none
 }
 
 impl Router {
@@ -655,9 +656,9 @@
         let asked = if reading { self.listed(true).filter(near).count() as f64 } else { 1.0 };
         let multiple = warmth * settings.overload_factor;
         Offer {
-            calls: multiple * self.usual_rate() / fleet * seconds(settings.fall_window),
+            calls: self.calls_in_window(server),
             routers: self.replicas,
-            sent: server.sent.since(self.window_began().max(self.started(server))),
+            sent: self.sent_in_window(server),
             work: self.work(request),
             is_new: request.came >= server.learnt.max(self.started(server))
                 && request.attempts.iter().all(|a| a.server != id),
@@ -669,6 +670,33 @@
         .is_admitted()
     }
 
+    /// What may reach a server in slow start in a window, whoever sends it, in calls of mean work.
+    fn calls_in_window(&self, server: &Server) -> f64 {
+        let [fleet, _] = self.most[usize::from(server.role == Role::Read)];
+        let multiple = self.warmth(server) * self.settings.overload_factor;
+        multiple * self.usual_rate() / fleet * seconds(self.settings.fall_window)
+    }
+
+    /// What this router has sent it in that window.
+    fn sent_in_window(&self, server: &Server) -> f64 {
+        server.sent.since(self.window_began().max(self.started(server)))
+    }
+
+    /// Checks what was just sent to a server against its quota, if it is in slow start.
+    fn check_quota(&mut self, id: &RequestId, to: ServerId, work: f64) {
+        let server = &self.servers[&to];
+        let quota = slow_start::quota(self.calls_in_window(server), self.replicas);
+        let bound = quota.filter(|quota| work <= *quota && self.warmth(server) < 1.0);
+        if bound.is_some_and(|quota| self.sent_in_window(server) > quota) {
+            self.over_quota.push((id.clone(), to));
+        }
+    }
+
+    /// Sends since the last call that went beyond the quota of a server in slow start.
+    pub fn take_over_quota(&mut self) -> Vec<(RequestId, ServerId)> {
+        std::mem::take(&mut self.over_quota)
+    }
+
     /// What a call of the request weighs, in calls of mean work; a short one may be of a costly class.
     fn work(&self, request: &Request) -> f64 {
         (request.ask.prompt_tokens / self.mean_prompt.get().unwrap_or(0.0)).max(1.0)
@@ -860,6 +888,7 @@
         let repeat_before = request.repeat_before().filter(|_| !reading);
         request.attempts.push(to);
         self.actions.push(Action::Send { id: id.clone(), server, repeat_before });
+        self.check_quota(id, server, work);
         self.count_out();
     }
 
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -148,6 +148,9 @@
                     break;
                 }
             }
+            for (id, server) in self.routing.take_over_quota() {
+                self.invariants.violated(Invariant::SlowStartQuota, &id, format!("server={:08x}", server.0));
+            }
             for id in std::mem::take(&mut self.to_release) {
                 self.release(id);
             }
--- a/src/gateway/routing.rs
+++ b/src/gateway/routing.rs
@@ -1,7 +1,7 @@
 //! Third stage: the decision module, fed what has happened since its last turn.
 
 use crate::choice::Router;
-use crate::interface::{Action, Event, Micros};
+use crate::interface::{Action, Event, Micros, RequestId, ServerId};
 use std::collections::BTreeSet;
 
 /// The module with its pending events and timers.
@@ -39,6 +39,11 @@
         self.router.avoided(now)
     }
 
+    /// Sends since the last call that went beyond the quota of a server in slow start.
+    pub(super) fn take_over_quota(&mut self) -> Vec<(RequestId, ServerId)> {
+        self.router.take_over_quota()
+    }
+
     /// What is to be done now; nothing if nothing has happened.
     pub(super) fn decide(&mut self, now: Micros) -> Vec<Action> {
         while let Some(&(due, token)) = self.timers.first()
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -19,6 +19,17 @@
     if calls < MANY_CALLS { of_few } else { of_many(calls) }
 }
 
+/// What one of so many routers may send in a window in which N calls are regular, where that is enough to hold it to.
+pub fn quota(calls: f64, routers: f64) -> Option<f64> {
+    let quota = (lawful_budget(calls) / routers).floor();
+    (quota >= QUOTA_LEAST).then_some(quota)
+}
+
+/// The budget of an N that may be no number.
+fn lawful_budget(calls: f64) -> f64 {
+    budget(if calls.is_finite() { calls.max(0.0) } else { 0.0 })
+}
+
 /// A call that a server in slow start might be sent, as one router sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Offer {
@@ -45,11 +56,10 @@
 impl Offer {
     /// Whether the call may be sent.
     pub fn is_admitted(&self) -> bool {
-        let budget = budget(if self.calls.is_finite() { self.calls.max(0.0) } else { 0.0 });
-        let quota = (budget / self.routers).floor();
-        if quota >= QUOTA_LEAST && self.work <= quota {
+        if let Some(quota) = quota(self.calls, self.routers).filter(|quota| self.work <= *quota) {
             return self.sent + self.work <= quota && self.draw < self.part * (AIM * self.ahead).min(1.0);
         }
+        let budget = lawful_budget(self.calls);
         // Draws alone bound the sum: all that waited would come at once, and a burst is not foretold.
         let ahead = AHEAD_UNKNOWN + self.known * (self.ahead - AHEAD_UNKNOWN);
         let most = (budget - DEVIATIONS * budget.sqrt()).max(0.0) / SURGE;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,7 +53,9 @@
     }
 
     pub fn handle(&mut self, events: &[Event]) -> Vec<Action> {
-        self.router.handle(self.now, events)
+        let actions = self.router.handle(self.now, events);
+        assert_eq!(self.router.take_over_quota(), [], "sent beyond the quota of a server in slow start");
+        actions
     }
 
     pub fn roster(&mut self, entries: Vec<Entry>) -> Vec<Action> {
