Add a failing test: answers that prove nothing are taken for proof that a request never ran

Cause: meaning (src/net/engines.rs) takes `Srv-Declined: 1` on any status for proof, where the protocol gives it that meaning on 503, 504 and 410; and a 202, which tells of a finished read, counts as one whoever was asked (src/gateway/attempts.rs). The module holds that neither has run (src/choice.rs, take_outcome) and sends the request again, also one that must not run twice. Servers that send spoilt answers are part of the protocol's trouble.

--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -160,3 +160,24 @@
     })
     .await;
 }
+
+// Answers that no decode server gives were taken for proof that the request never ran, and it was sent again: what must not
+// run twice ran twice.
+#[rstest]
+#[case::as_a_prefill_server_answers(
+    "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}\n"
+)]
+#[case::declined_after_an_error("HTTP/1.1 500 Broken\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")]
+#[tokio::test]
+async fn answer_that_proves_nothing_is_no_proof_that_it_never_ran(
+    #[case] says: &'static str,
+    #[values(("lookup", 200), ("correction", 502))] class: (&str, u16),
+) {
+    local(async {
+        let w = World::start(says).await;
+        let answer = chat(w.daemon.address, "a1", class.0, 9000).await;
+        assert_eq!(answer.status, class.1, "{answer:?}");
+        assert!(class.1 == 200 || w.runs() == 1, "{} runs", w.runs());
+    })
+    .await;
+}
