Take only what proves it for proof that a request never ran

- `Srv-Declined: 1` counts on 503, 504 and 410 alone (src/net/engines.rs); a 202 of a server that was to write an answer is an error, after which it may have run (src/gateway/attempts.rs).

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -72,7 +72,9 @@
                 // Turned down unread: it tells neither of the engine's health nor of its speed.
                 (Status::Moot, 0.0)
             }
-            Reply::Read { cached_tokens } => (Status::Read, cached_tokens),
+            Reply::Read { cached_tokens } if reading => (Status::Read, cached_tokens),
+            // Whoever was to write an answer has no state to offer: what it did is not known.
+            Reply::Read { .. } => (Status::Error, 0.0),
             Reply::Declined { no_state } => (Status::Full, f64::from(u8::from(no_state))),
             Reply::Error => (Status::Error, 0.0),
         };
--- a/src/gateway/open_request.rs
+++ b/src/gateway/open_request.rs
@@ -29,7 +29,7 @@
 impl Attempt {
     /// Whether it may have had the effect that its class must not have twice. A read has none, however it ends.
     fn may_have_run(&self) -> bool {
-        let never = [Status::Full, Status::Moot, Status::NoConnection, Status::Read];
+        let never = [Status::Full, Status::Moot, Status::NoConnection];
         !self.reading && self.outcome.is_none_or(|outcome| !never.contains(&outcome))
     }
 
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -115,8 +115,11 @@
     Ok(read.map_err(lost)?.to_bytes())
 }
 
-fn declined(headers: &HeaderMap) -> bool {
-    headers.get("srv-declined").is_some_and(|value| value.as_bytes() == b"1")
+/// Whether an answer proves that its request never ran. The mark has that meaning on these statuses alone.
+fn is_declined(status: StatusCode, headers: &HeaderMap) -> bool {
+    let may_decline =
+        matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE);
+    may_decline && headers.get("srv-declined").is_some_and(|value| value.as_bytes() == b"1")
 }
 
 /// What an answer read whole means.
@@ -179,7 +182,8 @@
             let body = whole(&channel, body, most).await?;
             let connected = channel.opened;
             pool.put(call.endpoint, channel);
-            let reply = meaning(call.job.manner, head.status, declined(&head.headers), body);
+            let declined = is_declined(head.status, &head.headers);
+            let reply = meaning(call.job.manner, head.status, declined, body);
             Ok(Replied { reply, load, connected })
         }
     }
