--- a/tests/core.rs
+++ b/tests/core.rs
@@ -331,6 +331,25 @@
     .await;
 }
 
+// Where attempts may not be called off one that was still connecting was written after its request had been refused.
+#[tokio::test(start_paused = true)]
+async fn send_still_connecting_when_its_request_is_answered_is_not_written() {
+    local(async {
+        let fake = Fake::default();
+        let gateway = started_where(&fake, false);
+        let mut short = submission("a");
+        short.arrival.expires_in = 400_000;
+        let answer = gateway.submit(short).expect("taken").answer().await;
+        assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+        assert!(!fake.called.borrow().is_empty(), "it was on its way");
+        fake.connects.set(true);
+        fake.connected.notify_waiters();
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        assert!(fake.written.borrow().is_empty(), "{:?}", fake.written);
+    })
+    .await;
+}
+
 // A zone was cut off just after a read there: its engines were asked one after the other to let the state go,
 // and it stayed held for longer than the rule allows.
 #[tokio::test(start_paused = true)]
