Have servers restart in the soak, with settings of slow start

A server's restart resets its connections, breaks requests for a while, and is listed with its new start; the quota of slow start is checked by the processes themselves.

--- a/tests/soak/discovery.rs
+++ b/tests/soak/discovery.rs
@@ -7,7 +7,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -70,6 +70,14 @@
         self.news.notify_waiters();
     }
 
+    /// A server's process has started anew just now.
+    pub fn restarted(&self, server: usize) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
+        self.servers[server].boot_ms.set(unix.as_millis() as u64);
+        self.revision.set(self.revision.get() + 1);
+        self.news.notify_waiters();
+    }
+
     /// Has all open watches fall silent.
     pub fn silence(&self) {
         self.silent_before.set(Some(Instant::now()));
--- a/tests/soak/scenario.rs
+++ b/tests/soak/scenario.rs
@@ -29,6 +29,7 @@
     ConnectionsReset(usize),
     ServerBehaves(usize, Behaviour),
     ServerDrains(usize),
+    ServerRestarts(usize),
     WatchesSilent,
     DiscoveryDown,
     GatewaysStop,
@@ -41,7 +42,7 @@
     fn draw(draws: &mut Rng) -> Self {
         let server = draws.usize(0..SERVERS);
         let behaviours = [Behaviour::Errors, Behaviour::Declines, Behaviour::Hangs, Behaviour::Breaks];
-        match draws.u8(0..13) {
+        match draws.u8(0..15) {
             0 | 1 => Self::OldConnectionsSilent(server),
             2 => Self::ServerCutOff(server),
             3 => Self::ConnectionsReset(server),
@@ -52,6 +53,7 @@
             9 => Self::GatewaysStop,
             10 => Self::GatewaysKilled,
             11 => Self::GatewaysReload,
+            12 | 13 => Self::ServerRestarts(server),
             _ => Self::GatewaysPause,
         }
     }
@@ -101,7 +103,8 @@
         json!({
             "replicasOfMe": self.gateways, "zones": ["a"], "kinds": ["reader", "writer"],
             "categories": CLASSES.iter().map(class).collect::<Vec<_>>(),
-            "projects": [{"name": "desk", "quotaPerS": 100000.0}],
+            "projects": [{"name": "desk", "quotaPerS": 200.0}],
+            "rules": {"coldFrom": 0.3, "warmAfterMs": 4000, "overloadFactor": 2.5, "fallMs": 1500},
             "permissions": {"cancelling": true, "connIdleMs": 15000, "dialTimeoutMs": 250, "maxAttempts": 6},
             "extra": {"roleByKind": ["read", "write"], "tokensByKind": [200_000, 200_000], "letGoByMs": 300,
                 "resume": resume},
@@ -232,6 +235,13 @@
                 tokio::time::sleep(span + Duration::from_secs(1)).await;
                 self.discovery.set_draining(server, false);
             }
+            Trouble::ServerRestarts(server) => {
+                self.servers[server].proxy.reset();
+                self.servers[server].behave(Behaviour::Breaks);
+                tokio::time::sleep(span / 2).await;
+                self.servers[server].behave(Behaviour::Well);
+                self.discovery.restarted(server);
+            }
             Trouble::WatchesSilent => self.discovery.silence(),
             Trouble::DiscoveryDown => {
                 self.discovery.set_down(true);
