Add a failing test: a repeat that was written in time arrives after its window

Cause: the guard asks when a repeat is written, while a call counts when its last byte has reached its server; nothing looks at a repeat that is out as its window ends.

Streams over a held connection count as broken by the servers' side now.

--- a/tests/dangers.rs
+++ b/tests/dangers.rs
@@ -559,3 +559,21 @@
         assert!(released(&actions, "a"), "{status:?}");
     }
 }
+
+// A repeat had been written in time over a connection that was silent. It arrived when its server could be reached again,
+// after the time in which servers recognise repeats, and would have run a second time.
+#[test]
+fn repeat_that_may_arrive_after_its_window_is_called_off_before() {
+    let window = 1_500_000;
+    let keyed = Class { effect: Effect::Keyed { group: Group::All, window }, ..Class::default() };
+    let mut h = Harness::new(Settings { classes: vec![keyed], ..settings() }, &[1, 2, 11, 12]);
+    h.ask(arrival("a"));
+    h.read("a", 0);
+    assert_eq!(sends(&h.ended("a", 1, Status::Reset), "a").len(), 1, "repeated");
+    let cancelled = Action::Cancel { id: id("a"), attempt: 2 };
+    assert!(!h.wait(1_200_000).contains(&cancelled), "it has its time");
+    // Left for calling it off: a process may be held up for 150 ms.
+    assert!(h.wait(150_000).contains(&cancelled));
+    let actions = h.ended("a", 2, Status::Cancelled);
+    assert!(refused(&actions, "a") && sends(&actions, "a").is_empty(), "{actions:?}");
+}
--- a/tests/soak/servers.rs
+++ b/tests/soak/servers.rs
@@ -199,6 +199,10 @@
             if self.link.until_closed(Duration::from_millis(25)).await {
                 return None;
             }
+            if self.link.is_held() {
+                // Its gateway hears no more of it than of a server that hangs, and may end it.
+                self.fleet.judge.borrow_mut().spoil(id);
+            }
         }
         say(stream, &chunk("data: [DONE]\n\n".to_owned())).await?;
         say(stream, "0\r\n\r\n").await
