Call a repeat off before the end of its window, and begin none in the last 0.2 s

A repeat of a keyed request that is out as its window is about to end is called off, and its connection reset (src/choice.rs, outlives_window): one that never arrived cannot arrive after the window then. Whether it arrived is not known, so a repeat that is only slow is given up, too; its request is refused or failed, as its class allows. A repeat is begun until 0.2 s before the end, so that it can be called off in time by a process that is held up.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,7 @@
 const WAIT_FADE_S: f64 = 4.0; // over which one not heard of again fades
 const RETRY_AFTER: Micros = 500_000; // until a refused client comes back: so long a queue needs to shrink
 const LOOKS: usize = 8; // queued requests weighed anew at an event: all would cost queue times servers
+const REPEAT_MARGIN: Micros = 200_000; // before its window's end a repeat is called off: 0.15 s for a hold-up
 const TICK: Micros = 20_000; // how often open requests are looked at
 
 /// What a writer is to answer from.
@@ -130,9 +131,18 @@
         self.ran().map(|ran| ran.sent + window)
     }
 
+    /// Whether a repeat is out that may not have arrived as the window ends in which servers recognise it.
+    /// Over a connection that has fallen silent it would come after that.
+    fn outlives_window(&self, now: Micros) -> bool {
+        let Some((last, earlier)) = self.attempts.split_last() else { return false };
+        let repeats = !last.reading && earlier.iter().any(|attempt| attempt.may_have_run);
+        let ends = self.repeat_before().is_some_and(|end| end <= now + REPEAT_MARGIN);
+        last.out && !last.cancelled && repeats && ends && self.settings.may_cancel
+    }
+
     /// Whether no further attempt can be made.
     fn is_spent(&self, now: Micros) -> bool {
-        let late = self.repeat_before().is_some_and(|end| end <= now + self.settings.resolution);
+        let late = self.repeat_before().is_some_and(|end| end <= now + REPEAT_MARGIN);
         let unsafe_run = self.ran().is_some() && self.class().effect == Effect::Unsafe;
         late || unsafe_run || self.attempts.len() >= self.settings.max_attempts as usize
     }
@@ -196,7 +206,7 @@
     now: Micros,         // the call in hand: its time, what is out, what is to be done
     outs: BTreeMap<ServerId, Out>,
     actions: Vec<Action>,
-    over_quota: Vec<(RequestId, ServerId)>, // sends beyond the quota of a server in slow start: there must be none
+    over_quota: Vec<(RequestId, ServerId)>, // sends beyond a quota of slow start: there must be none
 }
 
 impl Router {
@@ -369,6 +379,7 @@
                 Phase::Held(_, at) if at + request.settings.let_go <= soon => {
                     self.set_phase(&id, Phase::Queued)
                 }
+                Phase::Writing(_) if request.outlives_window(self.now) => self.recall(&id),
                 Phase::Writing(Source::State(_, at)) if at + request.settings.let_go <= soon => {
                     self.release_under_way(&id);
                 }
@@ -378,8 +389,8 @@
         }
     }
 
-    /// Lets go of a state whose time is over with a send to a writer out: over a connection that has fallen silent that
-    /// never arrives. What an attempt waits for that has arrived is not let go by that.
+    /// Lets go of a state whose time is over with a send to a writer out: over a connection that has fallen
+    /// silent that never arrives. What an attempt waits for that has arrived is not let go by that.
     fn release_under_way(&mut self, id: &RequestId) {
         self.actions.push(Action::Release { id: id.clone() });
         self.set_phase(id, Phase::Writing(Source::ReleasedState));
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -19,7 +19,7 @@
     if calls < MANY_CALLS { of_few } else { of_many(calls) }
 }
 
-/// What one of so many routers may send in a window in which N calls are regular, where that is enough to hold it to.
+/// What one of so many routers may send in a window in which N calls are regular; none if that says little.
 pub fn quota(calls: f64, routers: f64) -> Option<f64> {
     let quota = (lawful_budget(calls) / routers).floor();
     (quota >= QUOTA_LEAST).then_some(quota)
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -592,10 +592,10 @@
     (unix.as_micros() as u64).saturating_add_signed(STEP.get())
 }
 
-/// How many of 40 requests go to the second of two writers.
+/// How many of 200 requests go to the second of two writers.
 async fn share_of_second_writer(gateway: &Gateway<Fake>, fake: &Fake, name: &str) -> usize {
     let before = fake.written.borrow().len();
-    for n in 0..40 {
+    for n in 0..200 {
         pieces(gateway.submit(submission(&format!("{name}{n}"))).expect("taken").answer().await).await;
     }
     fake.written.borrow()[before..].iter().filter(|to| *to == "w2").count()
@@ -633,7 +633,8 @@
         let again = vec![listed(1, 0, "r1", ready), listed(11, 1, "w1", ready), started];
         gateway.tell(change(RosterForm::Full, again)).expect("it runs");
         let warm = share_of_second_writer(&gateway, &fake, "warm").await;
-        assert!(cold < 12 && warm > 12, "{cold} of 40 while cold, {warm} when warm");
+        // About a fifth is drawn for a server that starts, and half goes to one that is warm.
+        assert!(cold < 70 && warm > 75, "{cold} of 200 while cold, {warm} when warm");
     })
     .await;
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -221,10 +221,11 @@
     h.ask(unsafe_request("a"));
     h.read("a", 0);
     h.roster(vec![entry(1), Entry { condition: Condition::Draining, ..entry(11) }]);
-    h.now += 800_000;
+    // A repeat is not begun in the last 200 ms, in which it could still be on its way as the window ends.
+    h.now += 780_000;
     let actions = h.ended("a", 1, Status::Reset);
     assert!(!failed(&actions, "a"), "there is time for a repeat");
-    let actions = h.wait(300_000);
+    let actions = h.wait(40_000);
     assert!(failed(&actions, "a") && !refused(&actions, "a"), "{actions:?}");
 }
 
--- a/tests/soak/servers.rs
+++ b/tests/soak/servers.rs
@@ -153,7 +153,7 @@
             }
             Behaviour::Breaks => {
                 judge.borrow_mut().spoil(arrived.id);
-                tokio::time::sleep(Duration::from_millis(draws.u64(0..40))).await;
+                self.link.until_closed(Duration::from_millis(draws.u64(0..40))).await;
                 self.give_back(arrived.id, held);
                 return None;
             }
