--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -2,7 +2,7 @@
 //! that fail; overlapping troubles are drawn from a seed, and invariants judge what clients and servers saw.
 //!
 //! `SOAK_SEEDS` is a list of seeds, or `FROM..TO`; `SOAK_GATEWAYS` the number of processes; `SOAK_SECONDS` how long each
-//! seed lasts; `SOAK_LOGS` a folder for the processes' logs.
+//! seed lasts; `SOAK_LOGS` a folder for the processes' logs, which are kept below `target/tmp` without it.
 
 mod clients;
 mod discovery;
@@ -47,11 +47,14 @@
     let gateways = variable("SOAK_GATEWAYS").map_or(24, |count| count.parse().expect("a count"));
     let seconds = variable("SOAK_SECONDS").map_or(8, |seconds| seconds.parse().expect("seconds"));
     let library = fault_library();
-    let kept = tempfile::tempdir().expect("a folder");
-    let logs = variable("SOAK_LOGS").map_or_else(|| kept.path().to_owned(), PathBuf::from);
+    // Kept below target/ until the next run: a violation is traced by its request's id.
+    let kept = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-logs");
+    let logs = variable("SOAK_LOGS").map_or(kept, PathBuf::from);
     let mut broken = Vec::new();
     for seed in seeds() {
         let logs = logs.join(seed.to_string());
+        // Those of an earlier run are no use beside these.
+        let _ = std::fs::remove_dir_all(&logs);
         std::fs::create_dir_all(&logs).expect("a folder for logs");
         let scenario = Scenario { seed, gateways, seconds, library: library.clone(), logs };
         let Report { summary, violations } = scenario.run();
@@ -59,5 +62,6 @@
         violations.iter().take(20).for_each(|violation| println!("  {violation}"));
         broken.extend(violations.into_iter().map(|violation| format!("seed {seed}: {violation}")));
     }
-    assert!(broken.is_empty(), "{} violations, the first: {}", broken.len(), broken[0]);
+    let logs = logs.display();
+    assert!(broken.is_empty(), "{} violations, logs in {logs}, the first: {}", broken.len(), broken[0]);
 }
