--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 
 use crate::interface::*;
 use crate::numeric::*;
-use crate::slow_start::Offer;
+use crate::slow_start::{self, Offer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -51,13 +51,24 @@
 const LOOKS: usize = 8; // queued requests weighed anew at an event: all would cost queue times servers
 const TICK: Micros = 20_000; // how often open requests are looked at
 
-/// Where a request stands; held and writing: whose state, and since when that waits.
+/// What a writer is to answer from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Source {
+    /// The prompt: it reads that itself.
+    Prompt,
+    /// The state that this reader holds, and since when.
+    State(ServerId, Micros),
+    /// A state that was let go in case the attempt had not arrived; if it had, the writer has it.
+    ReleasedState,
+}
+
+/// Where a request stands; held: whose state, and since when that waits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
     Queued,
     Reading,
     Held(ServerId, Micros),
-    Writing(Option<(ServerId, Micros)>),
+    Writing(Source),
     Streaming(Micros),
     Ended,
 }
@@ -185,6 +196,7 @@
     now: Micros,         // the call in hand: its time, what is out, what is to be done
     outs: BTreeMap<ServerId, Out>,
     actions: Vec<Action>,
+    over_quota: Vec<(RequestId, ServerId)>, // sends beyond the quota of a server in slow start: there must be none
 }
 
 impl Router {
@@ -322,7 +334,7 @@
         }
     }
 
-    fn give_up(&mut self, id: &RequestId) {
+    fn give_up(&mut self, id: &RequestId, reason: GiveUpReason) {
         let request = &self.requests[id];
         let safe = request.class().effect == Effect::Safe;
         let time_left = request.expires > self.now + TICK;
@@ -331,8 +343,8 @@
             return self.recall(id);
         }
         let (id, refuse) = (id.clone(), self.may_refuse(request));
-        let refusal = Action::Refuse { id: id.clone(), retry_after: RETRY_AFTER };
-        let answer = if refuse { refusal } else { Action::Fail { id: id.clone() } };
+        let refusal = Action::Refuse { id: id.clone(), reason, retry_after: RETRY_AFTER };
+        let answer = if refuse { refusal } else { Action::Fail { id: id.clone(), reason } };
         self.end(&id, Some(answer));
     }
 
@@ -350,17 +362,29 @@
         for id in self.ids(|r| !matches!(r.phase, Phase::Ended | Phase::Streaming(_))) {
             let request = &self.requests[&id];
             match request.phase {
-                _ if request.expires <= soon => self.give_up(&id),
-                Phase::Queued | Phase::Held(..) if request.is_spent(self.now) => self.give_up(&id),
+                _ if request.expires <= soon => self.give_up(&id, GiveUpReason::DeadlineReached),
+                Phase::Queued | Phase::Held(..) if request.is_spent(self.now) => {
+                    self.give_up(&id, GiveUpReason::AttemptsSpent);
+                }
                 Phase::Held(_, at) if at + request.settings.let_go <= soon => {
                     self.set_phase(&id, Phase::Queued)
                 }
+                Phase::Writing(Source::State(_, at)) if at + request.settings.let_go <= soon => {
+                    self.release_under_way(&id);
+                }
                 Phase::Reading | Phase::Writing(_) => self.recall_overdue(&id),
                 _ => {}
             }
         }
     }
 
+    /// Lets go of a state whose time is over with a send to a writer out: over a connection that has fallen silent that
+    /// never arrives. What an attempt waits for that has arrived is not let go by that.
+    fn release_under_way(&mut self, id: &RequestId) {
+        self.actions.push(Action::Release { id: id.clone() });
+        self.set_phase(id, Phase::Writing(Source::ReleasedState));
+    }
+
     fn ids(&self, which: impl Fn(&Request) -> bool) -> Vec<RequestId> {
         let found = self.requests.iter().filter(|(_, r)| which(r));
         found.map(|(id, _)| id.clone()).collect()
@@ -437,7 +461,7 @@
             Status::Read | Status::Served => {
                 // Answered in one piece: the whole of it is what a server takes that does all by itself.
                 self.called_off = (self.called_off - CALLED_OFF_PART).max(0.0);
-                if status == Status::Read || phase == Phase::Writing(None) {
+                if status == Status::Read || phase == Phase::Writing(Source::Prompt) {
                     self.fit.learn(self.now, AGE_S, uncached, took);
                 }
                 self.hear(server, sent);
@@ -469,13 +493,13 @@
             (Status::Full, _) if note >= 1.0 => Phase::Queued,
             // While no connection comes up the time of what is held runs on: not for a second long dial.
             (_, Phase::Writing(_)) if unheard => Phase::Queued,
-            (NoConnection, Phase::Writing(Some((reader, held)))) => Phase::Held(reader, held),
-            (_, Phase::Writing(Some((reader, _)))) => Phase::Held(reader, self.now),
+            (NoConnection | Moot, Phase::Writing(Source::State(reader, held))) => Phase::Held(reader, held),
+            (_, Phase::Writing(Source::State(reader, _))) => Phase::Held(reader, self.now),
             _ => Phase::Queued,
         };
         self.set_phase(id, next);
         if self.requests[id].is_spent(self.now) {
-            self.give_up(id);
+            self.give_up(id, GiveUpReason::AttemptsSpent);
         }
     }
 
@@ -561,7 +585,7 @@
                     out.reads += 1;
                     out.backlog_s += attempt.read.work_s;
                 } else {
-                    let alone = request.phase == Phase::Writing(None);
+                    let alone = request.phase == Phase::Writing(Source::Prompt);
                     out.backlog_s += f64::from(u8::from(alone)) * attempt.read.work_s;
                     out.tokens += self.stream_tokens(request);
                 }
@@ -632,9 +656,9 @@
         let asked = if reading { self.listed(true).filter(near).count() as f64 } else { 1.0 };
         let multiple = warmth * settings.overload_factor;
         Offer {
-            calls: multiple * self.usual_rate() / fleet * seconds(settings.fall_window),
+            calls: self.calls_in_window(server),
             routers: self.replicas,
-            sent: server.sent.since(self.window_began().max(self.started(server))),
+            sent: self.sent_in_window(server),
             work: self.work(request),
             is_new: request.came >= server.learnt.max(self.started(server))
                 && request.attempts.iter().all(|a| a.server != id),
@@ -646,6 +670,33 @@
         .is_admitted()
     }
 
+    /// What may reach a server in slow start in a window, whoever sends it, in calls of mean work.
+    fn calls_in_window(&self, server: &Server) -> f64 {
+        let [fleet, _] = self.most[usize::from(server.role == Role::Read)];
+        let multiple = self.warmth(server) * self.settings.overload_factor;
+        multiple * self.usual_rate() / fleet * seconds(self.settings.fall_window)
+    }
+
+    /// What this router has sent it in that window.
+    fn sent_in_window(&self, server: &Server) -> f64 {
+        server.sent.since(self.window_began().max(self.started(server)))
+    }
+
+    /// Checks what was just sent to a server against its quota, if it is in slow start.
+    fn check_quota(&mut self, id: &RequestId, to: ServerId, work: f64) {
+        let server = &self.servers[&to];
+        let quota = slow_start::quota(self.calls_in_window(server), self.replicas);
+        let bound = quota.filter(|quota| work <= *quota && self.warmth(server) < 1.0);
+        if bound.is_some_and(|quota| self.sent_in_window(server) > quota) {
+            self.over_quota.push((id.clone(), to));
+        }
+    }
+
+    /// Sends since the last call that went beyond the quota of a server in slow start.
+    pub fn take_over_quota(&mut self) -> Vec<(RequestId, ServerId)> {
+        std::mem::take(&mut self.over_quota)
+    }
+
     /// What a call of the request weighs, in calls of mean work; a short one may be of a costly class.
     fn work(&self, request: &Request) -> f64 {
         (request.ask.prompt_tokens / self.mean_prompt.get().unwrap_or(0.0)).max(1.0)
@@ -748,7 +799,7 @@
             let request = &self.requests[&id];
             let ready_at = self.now + micros(request.best.1 + self.first_token_s);
             if ready_at > request.hopeless {
-                self.give_up(&id);
+                self.give_up(&id, GiveUpReason::DeadlineOutOfReach);
                 continue;
             }
             // Late ones behind those still in time: an aim that is missed cannot be missed again.
@@ -762,7 +813,7 @@
                 self.send(&id, server);
             } else if !self.asks_writers(&id) && over_share {
                 // Past its tenant's share it earns little: it goes first when there is not room for all.
-                self.give_up(&id);
+                self.give_up(&id, GiveUpReason::OverShare);
             }
         }
     }
@@ -826,10 +877,10 @@
         }
         let (phase, expected_s) = match request.phase {
             _ if reading => (Phase::Reading, read.total_s),
-            Phase::Held(reader, since) => (Phase::Writing(Some((reader, since))), self.first_token_s),
+            Phase::Held(reader, since) => (Phase::Writing(Source::State(reader, since)), self.first_token_s),
             // Until there are answers the aim stands in for an estimate of one that comes in one piece.
-            _ if self.fit.is_guess() => (Phase::Writing(None), seconds(request.aim - request.came)),
-            _ => (Phase::Writing(None), read.total_s + self.first_token_s),
+            _ if self.fit.is_guess() => (Phase::Writing(Source::Prompt), seconds(request.aim - request.came)),
+            _ => (Phase::Writing(Source::Prompt), read.total_s + self.first_token_s),
         };
         request.phase = phase;
         let (sent, out, cancelled, may_have_run) = (self.now, true, false, !reading);
@@ -837,6 +888,7 @@
         let repeat_before = request.repeat_before().filter(|_| !reading);
         request.attempts.push(to);
         self.actions.push(Action::Send { id: id.clone(), server, repeat_before });
+        self.check_quota(id, server, work);
         self.count_out();
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -11,8 +11,9 @@
 pub use management::Management;
 pub use platform::Platform;
 
+use crate::config::Shared;
 use crate::gateway::Rejected;
-use crate::net::{Front, FrontBody, Phase};
+use crate::net::{ClosedConnection, Front, FrontBody, Phase};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -26,12 +27,14 @@
     pub inference: Option<Inference>,
     /// How far a planned stop has come.
     pub phase: watch::Receiver<Phase>,
+    /// What operators have ordered before has to be known first.
+    pub shared: Shared,
 }
 
 impl Fronts {
     fn ready(&self) -> Response<FrontBody> {
         // Chat alone decides: a model of the other front that is down is no reason to turn chat away.
-        if *self.phase.borrow() == Phase::Serving && self.platform.can_serve() {
+        if *self.phase.borrow() == Phase::Serving && self.shared.is_known() && self.platform.can_serve() {
             reply::json(StatusCode::OK, Bytes::from_static(b"{\"ready\":true}"))
         } else {
             reply::error(StatusCode::SERVICE_UNAVAILABLE, "not ready to serve")
@@ -67,4 +70,8 @@
     fn contradicting(&self) -> Response<FrontBody> {
         reply::contradicting()
     }
+
+    fn closed(&self, closed: &ClosedConnection) {
+        self.platform.connection_closed(closed);
+    }
 }
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -4,6 +4,12 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
+/// Unix time as the machine has it now, in microseconds.
+pub(super) fn wall_now() -> Micros {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    unix.as_micros() as Micros
+}
+
 /// Microseconds of Unix time that never go back.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -13,8 +19,7 @@
 
 impl Default for Clock {
     fn default() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Self { base: unix.as_micros() as Micros, start: Instant::now() }
+        Self { base: wall_now(), start: Instant::now() }
     }
 }
 
@@ -29,6 +34,12 @@
         self.base + moment.saturating_duration_since(self.start).as_micros() as Micros
     }
 
+    /// A moment that was told in Unix time, on this clock: as long ago as it is by the machine's clock now, which may have
+    /// been stepped since this one began. One that is still to come by that clock is taken for now.
+    pub fn of_wall(&self, then: Micros, wall_now: Micros) -> Micros {
+        self.now().saturating_sub(wall_now.saturating_sub(then))
+    }
+
     /// That time on the runtime's clock; now, if it has passed.
     pub fn instant(&self, then: Micros) -> Instant {
         Instant::now() + self.until(then)
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -4,6 +4,8 @@
 use super::driver::Input;
 use super::figures::{Counter, Fate, Figures};
 use super::intake::{Caller, Rejected, Submission, Taken, Ticket};
+use super::invariants::Invariants;
+use super::metrics::Metrics;
 use super::relay::{Departure, Leaving};
 use super::roster::Roster;
 use super::{Change, Engines};
@@ -26,6 +28,10 @@
     pub(super) leaving: Leaving,
     pub(super) counter: Rc<Counter>,
     pub(super) settings: CurrentSettings,
+    pub(super) invariants: Invariants,
+    pub(super) metrics: Rc<Metrics>,
+    /// How many releases are on their way.
+    pub(super) releasing: Rc<Cell<usize>>,
 }
 
 impl<E: Engines> Clone for Gateway<E> {
@@ -39,6 +45,9 @@
             leaving: self.leaving.clone(),
             counter: self.counter.clone(),
             settings: self.settings.clone(),
+            invariants: self.invariants.clone(),
+            metrics: self.metrics.clone(),
+            releasing: self.releasing.clone(),
         }
     }
 }
@@ -48,6 +57,9 @@
     pub fn submit(&self, submission: Submission<E::Job>) -> Result<Ticket<E>, Rejected> {
         let Submission { mut arrival, job, size, key } = submission;
         if let Some(departure) = self.leaving.get() {
+            if departure.take_until.is_some_and(|until| until <= Instant::now()) {
+                return Err(Rejected::Stopped);
+            }
             let left = departure.answers_by.saturating_duration_since(Instant::now());
             arrival.expires_in = arrival.expires_in.min(left.as_micros() as Micros);
         }
@@ -109,6 +121,21 @@
         self.settings.borrow().clone()
     }
 
+    /// The checks of what no path of a request may do.
+    pub fn invariants(&self) -> &Invariants {
+        &self.invariants
+    }
+
+    /// Counters of why things happened.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Whether something that servers hold is still being let go.
+    pub fn is_releasing(&self) -> bool {
+        self.releasing.get() > 0
+    }
+
     /// How many requests are open.
     pub fn open(&self) -> usize {
         self.admission.borrow().open()
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,6 +4,7 @@
 
 use super::backoff::{Asking, Backoff, GRACE, Opening};
 use super::pool::{Channel, Pool, PoolLimits};
+use super::transport::WriteWatch;
 use crate::config::{List, Names, Numbers};
 use crate::gateway::{AttemptError, Change, Changes, Progress};
 use bytes::Bytes;
@@ -39,7 +40,8 @@
 
 impl Source {
     fn new(address: Arc<str>, backoff: Backoff) -> Self {
-        let limits = PoolLimits { connections: 2, buffer: BUFFER, dial_timeout: GRACE, idle: WAIT };
+        let limits =
+            PoolLimits { connections: 2, reserved: 0, buffer: BUFFER, dial_timeout: GRACE, idle: WAIT };
         Self { address, pool: Pool::new(limits), channel: None, revision: None, backoff }
     }
 
@@ -60,13 +62,14 @@
                 Some(channel) => channel,
                 None => self.pool.take(&self.address).await?,
             };
-            let answer = channel.send(request, 0, None).await?;
+            let answer = channel.send(request, 0, WriteWatch::default()).await?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), LIST_BYTES).collect().await;
             let body = body.map_err(|e| AttemptError::new(Progress::Written, e))?.to_bytes();
             if !status.is_success() {
                 return Err(AttemptError::new(Progress::Written, format!("status {status}")));
             }
+            channel.answered();
             let list = serde_json::from_slice(&body).map_err(|e| AttemptError::new(Progress::Written, e))?;
             Ok((list, channel))
         };
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -2,6 +2,7 @@
 
 use super::events::Events;
 use super::pool::{Channel, Pool};
+use super::transport::WriteWatch;
 use crate::config::LoadNames;
 use crate::gateway::{AttemptError, Call, Engines, EventStream, Progress, Replied, Reply};
 use crate::interface::{Load, RequestId};
@@ -114,8 +115,11 @@
     Ok(read.map_err(lost)?.to_bytes())
 }
 
-fn declined(headers: &HeaderMap) -> bool {
-    headers.get("srv-declined").is_some_and(|value| value.as_bytes() == b"1")
+/// Whether an answer proves that its request never ran. The mark has that meaning on these statuses alone.
+fn is_declined(status: StatusCode, headers: &HeaderMap) -> bool {
+    let may_decline =
+        matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE);
+    may_decline && headers.get("srv-declined").is_some_and(|value| value.as_bytes() == b"1")
 }
 
 /// What an answer read whole means.
@@ -159,12 +163,13 @@
         let tries = self.tries.clone();
         async move {
             let mut channel = pool.take(&call.endpoint).await?;
-            if let Some(cause) = call.gate.closed() {
+            if let Some(cause) = call.guard.refusal() {
                 pool.put(call.endpoint, channel);
                 return Err(AttemptError::new(Progress::Withdrawn, cause));
             }
             let request = call_request(&call)?;
-            let answer = channel.send(request, call.job.body.len(), Some(tries)).await?;
+            let watch = WriteWatch { guard: Some(call.guard), tally: Some(tries) };
+            let answer = channel.send(request, call.job.body.len(), watch).await?;
             let (head, body) = answer.into_parts();
             let load = head.headers.get("srv-load").map_or(Load::default(), |l| names.read(l.as_bytes()));
             if call.job.manner == Manner::Staged && head.status == StatusCode::OK {
@@ -177,7 +182,8 @@
             let body = whole(&channel, body, most).await?;
             let connected = channel.opened;
             pool.put(call.endpoint, channel);
-            let reply = meaning(call.job.manner, head.status, declined(&head.headers), body);
+            let declined = is_declined(head.status, &head.headers);
+            let reply = meaning(call.job.manner, head.status, declined, body);
             Ok(Replied { reply, load, connected })
         }
     }
@@ -193,8 +199,8 @@
                 return Ok(());
             }
             let request = request(Method::DELETE, &endpoint, &format!("/state/{}", id.0), Bytes::new())?;
-            let mut channel = pool.take(&endpoint).await?;
-            let answer = channel.send(request, 0, None).await?;
+            let mut channel = pool.take_for_release(&endpoint).await?;
+            let answer = channel.send(request, 0, WriteWatch::default()).await?;
             let status = answer.status();
             whole(&channel, answer.into_body(), SHORT_BYTES).await?;
             pool.put(endpoint, channel);
@@ -208,7 +214,7 @@
         async move {
             let request = request(Method::GET, &endpoint, "/status/load", Bytes::new())?;
             let mut channel = pool.take(&endpoint).await?;
-            let answer = channel.send(request, 0, None).await?;
+            let answer = channel.send(request, 0, WriteWatch::default()).await?;
             let status = answer.status();
             let body = whole(&channel, answer.into_body(), SHORT_BYTES).await?;
             pool.put(endpoint, channel);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,8 @@
 //! Sockets: connections to engines, discovery's watch, the server side, and signals.
 
+mod accept;
 mod backoff;
+mod closing;
 mod connection;
 mod discovery;
 mod engines;
@@ -8,16 +10,19 @@
 mod eviction;
 mod heads;
 mod inherited;
+mod listen;
 mod pool;
 mod serve;
 mod signals;
 mod transport;
 
 pub use backoff::Asking;
+pub use closing::{CloseReason, ClosedConnection};
 pub use discovery::Watch;
 pub use engines::{HttpEngines, HttpEvents, Job, Manner};
 pub use eviction::ServeLimits;
 pub use inherited::inherited;
+pub use listen::bind;
 pub use pool::{Pool, PoolLimits};
 pub use serve::{Front, FrontBody, Phase, serve};
-pub use signals::{reload_asked, stop_asked};
+pub use signals::Signals;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,12 +1,13 @@
 //! Connections to engines: one request at a time each, warm ones used again, all of them bounded.
 
-use super::transport::{Meter, Wire, is_stale};
+use super::transport::{Meter, Wire, WriteWatch, is_stale};
 use crate::gateway::{AttemptError, Progress};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, body::Incoming};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -20,6 +21,8 @@
 pub struct PoolLimits {
     /// Connections to all engines together.
     pub connections: usize,
+    /// How many of them are kept for calls that let states go.
+    pub reserved: usize,
     /// Most bytes of an answer's head, and of what is buffered for a connection.
     pub buffer: usize,
     /// How long one may take to come up.
@@ -48,29 +51,47 @@
     task: AbortHandle,
     /// When it came up.
     pub(super) opened: tokio::time::Instant,
+    /// Whether a request was sent whose answer has not been read to its end.
+    in_use: bool,
     _counted: Counted,
 }
 
 impl Drop for Channel {
     fn drop(&mut self) {
+        if self.in_use {
+            self.discard_unsent();
+        }
         self.task.abort();
     }
 }
 
 impl Channel {
-    /// Sends one request, counted on the tally once it is written whole, and waits for the head of its
-    /// answer. Nothing is sent a second time.
+    /// Sends one request and waits for the head of its answer. Nothing is sent a second time.
     pub(super) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         body: usize,
-        tally: Option<Rc<Cell<u64>>>,
+        watch: WriteWatch,
     ) -> Result<Response<Incoming>, AttemptError> {
-        self.meter.begin(body, tally);
+        self.meter.begin(body, watch);
+        self.in_use = true;
         let answer = self.sender.try_send_request(request).await;
         answer.map_err(|error| self.lost(error.into_error()))
     }
 
+    /// The answer to what was sent has been read to its end.
+    pub(super) fn answered(&mut self) {
+        self.in_use = false;
+    }
+
+    /// Has the system reset the connection as it closes. Otherwise it goes on to deliver what it has taken: a server that
+    /// hung, or was cut off, would begin a request that was given up long before.
+    fn discard_unsent(&self) {
+        if let Err(error) = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!("connection closes without a reset {error}");
+        }
+    }
+
     /// What a break of this connection means for the request in hand.
     pub(super) fn lost(&self, cause: hyper::Error) -> AttemptError {
         let progress = if self.meter.is_complete() { Progress::Written } else { Progress::Unwritten };
@@ -96,18 +117,27 @@
         Rc::new(Self { limits, open: Rc::default(), idle: RefCell::default() })
     }
 
-    /// A warm connection, or a new one.
+    /// A warm connection, or a new one, for an attempt.
     pub(super) async fn take(&self, endpoint: &Arc<str>) -> Result<Channel, AttemptError> {
+        self.take_within(endpoint, self.limits.connections.saturating_sub(self.limits.reserved)).await
+    }
+
+    /// The same for a call that lets a state go: attempts that wait must not keep it from being made.
+    pub(super) async fn take_for_release(&self, endpoint: &Arc<str>) -> Result<Channel, AttemptError> {
+        self.take_within(endpoint, self.limits.connections).await
+    }
+
+    async fn take_within(&self, endpoint: &Arc<str>, most: usize) -> Result<Channel, AttemptError> {
         while let Some(idle) = self.pop(endpoint) {
             let old = idle.since.elapsed() >= self.limits.idle;
             if !old && idle.channel.sender.is_ready() && !is_stale(&idle.channel.stream) {
                 return Ok(idle.channel);
             }
         }
-        if self.open.get() >= self.limits.connections {
+        if self.open.get() >= most {
             self.close_one_idle();
         }
-        if self.open.get() >= self.limits.connections {
+        if self.open.get() >= most {
             return Err(AttemptError::new(Progress::Unconnected, "all connections are in use"));
         }
         self.connect(endpoint).await
@@ -143,11 +173,17 @@
         let (sender, connection) = made.map_err(|e| lost(e.to_string()))?;
         // Its error reaches the request in hand; without one nobody misses the connection.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
-        Ok(Channel { sender, stream, meter, task, opened: tokio::time::Instant::now(), _counted: counted })
+        let opened = tokio::time::Instant::now();
+        Ok(Channel { sender, stream, meter, task, opened, in_use: false, _counted: counted })
     }
 
     /// Keeps a connection whose answer has been read to its end.
     pub(super) fn put(self: &Rc<Self>, endpoint: Arc<str>, mut channel: Channel) {
+        if channel.in_use && !channel.meter.is_complete() {
+            // It was answered before its request had ended: what is left of that must not follow.
+            return;
+        }
+        channel.answered();
         let pool = self.clone();
         tokio::task::spawn_local(async move {
             let ready = tokio::time::timeout(Duration::from_secs(1), channel.sender.ready()).await;
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,10 +1,11 @@
 //! The server side: connections of clients, bounded, each with a task of its own where panics stop.
 
+use super::accept::{ACCEPT_AGAIN, AcceptFailure, waiting};
+use super::closing::{CloseReason, ClosedConnection, Closing, last_words, linger};
 use super::connection::{ClientBody, ClientStream, Connection, RequestInHand};
 use super::engines::HttpEvents;
 use super::eviction::{Connections, Registration, Room, ServeLimits};
 use super::heads::Framing;
-use super::transport::end_writing;
 use crate::gateway::{AttemptError, Relay};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
@@ -17,7 +18,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
@@ -27,10 +28,6 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How often it is looked whether a request that crosses the close of its connection has come.
 const NEWS_EVERY: Duration = Duration::from_millis(2);
-/// How long a connection that was asked to close may take to write out what it has.
-const LAST_WORDS: Duration = Duration::from_millis(500);
-/// How long what a client still sends after its answer is read.
-const LINGER: Duration = Duration::from_millis(1500);
 /// What a client is told whose request does not come to its end.
 const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -50,17 +47,19 @@
     Closing,
     /// The same where another process takes clients on the same socket: what waits there is left to it.
     Superseded,
+    /// All that was taken has its answer; what still comes is ended.
+    Ended,
 }
 
 impl Phase {
     /// Whether the process was asked to stop.
     pub fn is_stop(self) -> bool {
-        matches!(self, Self::Leaving | Self::Closing | Self::Superseded)
+        matches!(self, Self::Leaving | Self::Closing | Self::Superseded | Self::Ended)
     }
 
     /// Whether new connections are no longer taken.
     fn is_closed(self) -> bool {
-        matches!(self, Self::Closing | Self::Superseded)
+        matches!(self, Self::Closing | Self::Superseded | Self::Ended)
     }
 }
 
@@ -72,6 +71,8 @@
     fn too_many(&self, request: &Request<Incoming>) -> Response<FrontBody>;
     /// Turns a request away whose head gives two lengths that contradict each other.
     fn contradicting(&self) -> Response<FrontBody>;
+    /// A connection was closed.
+    fn closed(&self, _: &ClosedConnection) {}
 }
 
 /// The body of an answer.
@@ -140,33 +141,33 @@
         };
         match accepted {
             Ok((stream, _)) => start(stream).await,
-            Err(error) => {
-                log::warn!("accept failed {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
+            Err(error) => match AcceptFailure::from(&error) {
+                AcceptFailure::OneConnection | AcceptFailure::NoneWaiting => {
+                    log::debug!("accept failed for one connection {error}");
+                }
+                AcceptFailure::NoRoom => {
+                    log::warn!("accept failed {error}");
+                    tokio::time::sleep(ACCEPT_AGAIN).await;
+                }
+            },
         }
     }
     if *phase.borrow() == Phase::Closing {
         // The system has accepted these; closed with the listener they would be reset, and their requests lost.
-        while let Some(stream) = waiting(&listener) {
+        while let Some(stream) = waiting(&listener).await {
             start(stream).await;
         }
     }
     drop(listener);
     while connections.open() > 0 {
         tokio::time::sleep(Duration::from_millis(10)).await;
+        if *phase.borrow() == Phase::Ended {
+            connections.close_all();
+        }
         connections.close_overdue();
     }
 }
 
-/// A connection that the system has accepted and nobody has taken yet. The system is asked itself: the runtime may not
-/// have been told of it so far.
-fn waiting(listener: &TcpListener) -> Option<TcpStream> {
-    let (socket, _) = SockRef::from(listener).accept().ok()?;
-    socket.set_nonblocking(true).ok()?;
-    TcpStream::from_std(socket.into()).ok()
-}
-
 async fn serve_connection<F: Front>(
     registration: Registration,
     front: Rc<F>,
@@ -183,7 +184,7 @@
     }
     let service = service_fn(|request| {
         let (front, framing) = (front.clone(), connection.next_framing());
-        let answering = RequestInHand::new(connection.clone());
+        let answering = RequestInHand::new(connection.clone(), request_id(&request));
         let connection = connection.clone();
         async move {
             let mut response = match framing {
@@ -208,43 +209,56 @@
     builder.timer(TokioTimer::new()).max_buf_size(limits.buffer).keep_alive(!over && !ending);
     let io = TokioIo::new(ClientStream(connection.clone()));
     let mut served = std::pin::pin!(builder.serve_connection(io, service));
-    let result = loop {
+    let (result, reason) = loop {
         tokio::select! {
-            result = &mut served => break result,
+            result = &mut served => {
+                let reason = if result.is_ok() { CloseReason::Answered } else { CloseReason::Client };
+                break (result, reason);
+            }
             () = sent_away(&mut phase, &connection), if !ending => {
                 ending = true;
                 served.as_mut().graceful_shutdown();
+                if !connection.is_answering() {
+                    break (last_words(served.as_mut()).await, CloseReason::SentAway);
+                }
             }
-            () = connection.asked_to_close() => {
-                if connection.in_request() {
+            () = connection.asked_to_close() => match Closing::of(&connection) {
+                Closing::Stays => connection.stay(),
+                Closing::CutsRequest => {
                     // Nothing is being answered, so nothing else is being written.
                     drop(connection.stream.try_write(REQUEST_TIMEOUT));
-                    break Ok(());
-                }
-                if connection.has_news() {
-                    // A request or the client's own close crossed it.
-                    connection.stay();
-                    continue;
+                    break (Ok(()), CloseReason::RequestTimeout);
                 }
-                if !connection.is_used() {
-                    return;
+                Closing::Rests => {
+                    let awaited = connection.is_awaited();
+                    let reason = if awaited { CloseReason::MadeRoom } else { CloseReason::Idle };
+                    served.as_mut().graceful_shutdown();
+                    break (last_words(served.as_mut()).await, reason);
                 }
-                served.as_mut().graceful_shutdown();
-                break tokio::time::timeout(LAST_WORDS, served.as_mut()).await.unwrap_or(Ok(()));
             }
         }
     };
-    if let Err(error) = result {
-        log::debug!("connection ended {error}");
+    if let Err(error) = &result {
+        log::debug!("connection ended number={} {error}", registration.number);
     }
+    let unanswered = connection.unanswered().filter(|_| result.is_ok());
+    front.closed(&ClosedConnection { number: registration.number, reason, unanswered });
     connection.leave();
-    // Closed over bytes that were not read the connection would be reset, and what was written last go with it. One
-    // that lingered in the place that another is to have would have that one closed without a word.
-    if (connection.in_request() || connection.has_news()) && !connection.is_awaited() {
+    // Closed over bytes that were not read the connection would be reset, and what was written last go with it. On one
+    // that rested nothing was written last, and what has come is a request: read and not answered it would be lost, while
+    // its client sends it again after a reset. One that lingered in the place that another is to have would have that
+    // one closed without a word.
+    let unread = connection.in_request() || connection.has_news();
+    if unread && !reason.is_of_resting() && !connection.is_awaited() {
         linger(&connection.stream, limits.buffer).await;
     }
 }
 
+/// The id that a client gave its request, for the log.
+fn request_id(request: &Request<Incoming>) -> &str {
+    request.headers().get("req-id").and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
 /// Waits until connections are to close after the answer in hand, and no request has come on this one, whole or in part:
 /// it would meet a reset. One that stops coming is given up as at any other time.
 async fn sent_away(phase: &mut watch::Receiver<Phase>, connection: &Connection) {
@@ -256,23 +270,3 @@
         tokio::time::sleep(NEWS_EVERY).await;
     }
 }
-
-/// Reads on for a while what a client still sends, so that the answer that came before its end reaches it:
-/// closed with bytes unread, the connection would be reset and the answer with it.
-async fn linger(stream: &TcpStream, buffer: usize) {
-    if end_writing(stream).is_err() {
-        return;
-    }
-    let mut discarded = vec![0; buffer];
-    let drained = async {
-        while stream.readable().await.is_ok() {
-            match stream.try_read(&mut discarded) {
-                Ok(0) => return,
-                Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
-                _ => {}
-            }
-        }
-    };
-    // Whoever sends for longer has had its answer.
-    let _ = tokio::time::timeout(LINGER, drained).await;
-}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,7 +53,9 @@
     }
 
     pub fn handle(&mut self, events: &[Event]) -> Vec<Action> {
-        self.router.handle(self.now, events)
+        let actions = self.router.handle(self.now, events);
+        assert_eq!(self.router.take_over_quota(), [], "sent beyond the quota of a server in slow start");
+        actions
     }
 
     pub fn roster(&mut self, entries: Vec<Entry>) -> Vec<Action> {
@@ -124,7 +126,7 @@
 }
 
 pub fn failed(actions: &[Action], name: &str) -> bool {
-    actions.contains(&Action::Fail { id: id(name) })
+    actions.iter().any(|a| matches!(a, Action::Fail { id: of, .. } if *of == id(name)))
 }
 
 pub fn released(actions: &[Action], name: &str) -> bool {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -47,6 +47,8 @@
     breaks: Rc<Cell<usize>>,
     /// Reads and releases in the order in which they came to an engine.
     order: Rc<RefCell<Vec<&'static str>>>,
+    /// Whether writers' connections have fallen silent: what is written to them brings no answer, and no error.
+    silent_writers: Rc<Cell<bool>>,
     /// Which were probed, and the memory share that they tell.
     probed: Rc<RefCell<Vec<String>>>,
     share: Option<f64>,
@@ -66,7 +68,7 @@
             if !fake.connects.get() {
                 fake.connected.notified().await;
             }
-            if call.gate.closed().is_some() {
+            if call.guard.refusal().is_some() {
                 return Err(AttemptError::new(Progress::Withdrawn, "drains"));
             }
             let reader = call.endpoint.starts_with('r');
@@ -77,6 +79,9 @@
             }
             fake.order.borrow_mut().push(if reader { "read" } else { "write" });
             fake.written.borrow_mut().push(call.endpoint.to_string());
+            while !reader && fake.silent_writers.get() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
             if !reader && fake.breaks.get() > 0 {
                 fake.breaks.set(fake.breaks.get() - 1);
                 fake.connects.set(false);
@@ -135,12 +140,13 @@
 
 /// A gateway that may call attempts off, or not.
 fn started_where(fake: &Fake, may_cancel: bool) -> Gateway<Fake> {
-    let settings = Settings {
-        roles: vec![Role::Read, Role::Write],
-        classes: vec![Class::default()],
-        may_cancel,
-        ..Settings::default()
-    };
+    started_with(fake, Settings { may_cancel, ..Settings::default() })
+}
+
+/// A gateway of these settings, with one class unless they have some, two prefill servers and a decode server.
+fn started_with(fake: &Fake, settings: Settings) -> Gateway<Fake> {
+    let classes = if settings.classes.is_empty() { vec![Class::default()] } else { settings.classes.clone() };
+    let settings = Settings { roles: vec![Role::Read, Role::Write], classes, ..settings };
     let (gateway, _) = start("test", settings, 1, fake.clone(), Tuning::default()).expect("lawful");
     let ready = Condition::Ready;
     let all = vec![listed(1, 0, "r1", ready), listed(2, 0, "r2", ready), listed(11, 1, "w1", ready)];
@@ -369,6 +375,48 @@
     .await;
 }
 
+/// A gateway with one class, of that effect, and two readers and a writer.
+fn started_with_effect(fake: &Fake, effect: Effect) -> Gateway<Fake> {
+    fake.connects.set(true);
+    let classes = vec![Class { effect, ..Class::default() }];
+    started_with(fake, Settings { classes, let_go: 300_000, ..Settings::default() })
+}
+
+// Open connections may fall silent with no error. The send to the writer counted as out though it had not arrived, and
+// what the reader held for the request stayed there until its time was up.
+#[rstest::rstest]
+#[case::safe(Effect::Safe)]
+#[case::keyed(Effect::Keyed { group: Group::All, window: 2_000_000 })]
+#[case::must_not_run_twice(Effect::Unsafe)]
+#[tokio::test(start_paused = true)]
+async fn state_is_let_go_in_time_while_its_send_may_not_have_arrived(#[case] effect: Effect) {
+    local(async {
+        let fake = Fake { silent_writers: Rc::new(Cell::new(true)), ..Fake::default() };
+        let gateway = started_with_effect(&fake, effect);
+        let _ticket = gateway.submit(submission("a")).expect("taken");
+        // The span of the settings, and the 300 ms that the protocol adds to it.
+        tokio::time::sleep(Duration::from_millis(300 + 300)).await;
+        assert_eq!(fake.order.borrow()[..2], ["read", "write"]);
+        assert_eq!(fake.released.borrow().len(), 1, "{:?}", fake.order);
+    })
+    .await;
+}
+
+// What is out was let go of in case it had not arrived; it had, and its writer was only slow. The answer still counts.
+#[tokio::test(start_paused = true)]
+async fn answer_of_a_writer_that_was_only_slow_counts_after_the_release() {
+    local(async {
+        let fake = Fake { silent_writers: Rc::new(Cell::new(true)), ..Fake::default() };
+        let gateway = started_with_effect(&fake, Effect::Unsafe);
+        let ticket = gateway.submit(submission("a")).expect("taken");
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        fake.silent_writers.set(false);
+        assert_eq!(pieces(ticket.answer().await).await, ["a", "b"]);
+        assert_eq!(*fake.written.borrow(), ["r1", "w1"], "sent once");
+    })
+    .await;
+}
+
 // What is open is bounded whatever comes in, and room is given back.
 #[tokio::test]
 async fn request_beyond_the_bounds_is_not_taken_until_another_ends() {
@@ -409,7 +457,7 @@
         let asked = tokio::time::Instant::now();
         let (from, span) = (asked + Duration::from_secs(1), Duration::from_secs(1));
         let answers_by = asked + Duration::from_secs(3);
-        gateway.leave(Departure { answers_by, hand_over: Some((from, span)) });
+        gateway.leave(Departure { take_until: None, answers_by, hand_over: Some((from, span)) });
         let ended = async |relay: &mut Relay<Pieces>| loop {
             tokio::time::sleep(Duration::from_millis(50)).await;
             if let Some(Err(_)) = std::future::poll_fn(|context| relay.poll_piece(context)).await {
@@ -448,7 +496,7 @@
         assert!(matches!((next().await, next().await), (Some(Ok(_)), Some(Ok(_)))));
         let leave = async {
             tokio::time::sleep(Duration::from_millis(300)).await;
-            gateway.leave(Departure { answers_by: after(3_000), hand_over });
+            gateway.leave(Departure { take_until: None, answers_by: after(3_000), hand_over });
         };
         let (ended, ()) = tokio::join!(tokio::time::timeout(Duration::from_secs(3), next()), leave);
         assert!(matches!(ended, Ok(Some(Err(_)))), "{ended:?}");
@@ -472,7 +520,7 @@
         let after = |ms| asked + Duration::from_millis(ms);
         let answer = gateway.submit(submission("a")).expect("taken").answer().await;
         let hand_over = hand_over_ms.map(|from| (after(from), Duration::from_millis(100)));
-        gateway.leave(Departure { answers_by: after(2_000), hand_over });
+        gateway.leave(Departure { take_until: None, answers_by: after(2_000), hand_over });
         tokio::time::sleep(Duration::from_millis(2_200)).await;
         assert_eq!(pieces(answer).await.concat(), b"ab");
     })
@@ -488,7 +536,7 @@
         let ticket = gateway.submit(submission("a")).expect("taken");
         tokio::time::sleep(Duration::from_millis(100)).await;
         let answers_by = tokio::time::Instant::now() + Duration::from_secs(1);
-        gateway.leave(Departure { answers_by, hand_over: None });
+        gateway.leave(Departure { take_until: None, answers_by, hand_over: None });
         let answer = ticket.answer().await;
         assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
         assert!(tokio::time::Instant::now() < answers_by);
@@ -514,3 +562,59 @@
     })
     .await;
 }
+
+thread_local! {
+    /// By how many microseconds the wall clock of a test was stepped.
+    static STEP: Cell<i64> = const { Cell::new(0) };
+}
+
+fn stepped_clock() -> Micros {
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    (unix.as_micros() as u64).saturating_add_signed(STEP.get())
+}
+
+/// How many of 40 requests go to the second of two writers.
+async fn share_of_second_writer(gateway: &Gateway<Fake>, fake: &Fake, name: &str) -> usize {
+    let before = fake.written.borrow().len();
+    for n in 0..40 {
+        pieces(gateway.submit(submission(&format!("{name}{n}"))).expect("taken").answer().await).await;
+    }
+    fake.written.borrow()[before..].iter().filter(|to| *to == "w2").count()
+}
+
+// The wall clock was stepped under a running gateway. A server that started after that, an hour ago by the clock of before,
+// was taken for a warm one and got its full share at once; one that started in an hour never became warm.
+#[rstest::rstest]
+#[case::back(-3_600)]
+#[case::ahead(3_600)]
+#[tokio::test(start_paused = true)]
+async fn server_starts_slowly_and_becomes_warm_though_the_wall_clock_was_stepped(#[case] step_s: i64) {
+    local(async {
+        let fake = Fake::default();
+        fake.connects.set(true);
+        let settings = Settings {
+            roles: vec![Role::Read, Role::Write],
+            classes: vec![Class::default()],
+            warm_after: 5_000_000,
+            ..Settings::default()
+        };
+        let tuning = Tuning { wall_clock: stepped_clock, ..Tuning::default() };
+        let (gateway, _) = start("test", settings, 1, fake.clone(), tuning).expect("lawful");
+        let ready = Condition::Ready;
+        let all = vec![listed(1, 0, "r1", ready), listed(11, 1, "w1", ready)];
+        gateway.tell(change(RosterForm::Full, all)).expect("it runs");
+        share_of_second_writer(&gateway, &fake, "before").await;
+        STEP.set(step_s * 1_000_000);
+        let mut started = listed(12, 1, "w2", ready);
+        started.entry.started_at = stepped_clock();
+        gateway.tell(change(RosterForm::Delta, vec![started.clone()])).expect("it runs");
+        let cold = share_of_second_writer(&gateway, &fake, "cold").await;
+        // Time goes on by the monotonic clock; a whole list tells the same start again.
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        let again = vec![listed(1, 0, "r1", ready), listed(11, 1, "w1", ready), started];
+        gateway.tell(change(RosterForm::Full, again)).expect("it runs");
+        let warm = share_of_second_writer(&gateway, &fake, "warm").await;
+        assert!(cold < 12 && warm > 12, "{cold} of 40 while cold, {warm} when warm");
+    })
+    .await;
+}
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -54,17 +54,19 @@
     #[case] says: &'static str,
     #[values(("lookup", 200), ("correction", 502))] class: (&str, u16),
 ) {
-    local(async {
-        let w = World::start(says).await;
-        let answer = chat(w.daemon.address, "a1", class.0, 9000).await;
-        assert_eq!(answer.status, class.1, "{answer:?}");
-        if class.1 == 200 {
-            assert_eq!((answer.body, answer.whole), (EVENTS.concat(), true));
-        } else {
-            assert_eq!(w.runs(), 1, "it may have run");
-        }
-    })
-    .await;
+    local(is_failed_attempt_that_may_have_run(says, class)).await;
+}
+
+/// The answer of a decode server is one failed attempt: safe requests are served by another, others end with it.
+async fn is_failed_attempt_that_may_have_run(says: &'static str, (class, status): (&str, u16)) {
+    let w = World::start(says).await;
+    let answer = chat(w.daemon.address, "a1", class, 9000).await;
+    assert_eq!(answer.status, status, "{answer:?}");
+    if status == 200 {
+        assert_eq!((answer.body, answer.whole), (EVENTS.concat(), true));
+    } else {
+        assert_eq!(w.runs(), 1, "it may have run");
+    }
 }
 
 // Once an event was passed on the answer is this one or none: its client must see that it is not whole.
@@ -152,7 +154,7 @@
         let config = Config::decode(file.to_string().as_bytes()).expect("lawful");
         assert!(config.settings.may_probe);
         let (dial_timeout, idle) = (Duration::from_secs(1), Duration::from_secs(1));
-        let pool = Pool::new(PoolLimits { connections: 4, buffer: 8 << 10, dial_timeout, idle });
+        let pool = Pool::new(PoolLimits { connections: 4, reserved: 0, buffer: 8 << 10, dial_timeout, idle });
         let engines = HttpEngines::new(pool, config.load, true, 1 << 20);
         let load = engines.probe(Arc::from(writer.address.to_string())).await;
         assert_eq!(load.ok().map(|load| load.memory_share), told);
@@ -160,3 +162,18 @@
     })
     .await;
 }
+
+// Answers that no decode server gives were taken for proof that the request never ran, and it was sent again: what must not
+// run twice ran twice.
+#[rstest]
+#[case::as_a_prefill_server_answers(
+    "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}\n"
+)]
+#[case::declined_after_an_error("HTTP/1.1 500 Broken\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")]
+#[tokio::test]
+async fn answer_that_proves_nothing_is_no_proof_that_it_never_ran(
+    #[case] says: &'static str,
+    #[values(("lookup", 200), ("correction", 502))] class: (&str, u16),
+) {
+    local(is_failed_attempt_that_may_have_run(says, class)).await;
+}
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
@@ -52,7 +52,7 @@
 }
 
 /// Reads one message off a connection: its first line's words, its headers and its body.
-pub async fn message(stream: &mut TcpStream) -> Option<Seen> {
+pub async fn message(stream: &mut (impl AsyncRead + Unpin)) -> Option<Seen> {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
         text.push(stream.read_u8().await.ok()?);
@@ -422,7 +422,7 @@
         let address = listener.local_addr().expect("an address");
         let operators = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let management = operators.local_addr().expect("an address");
-        let shared = Shared::new(None, "n0").expect("nothing to read");
+        let shared = Shared::new(None, "n0");
         let operation = Operation { management: Some(operators), shared };
         let stop = Rc::new(Notify::new());
         let asked = stop.clone();
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -4,9 +4,10 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use loopback::*;
-use meadowlug::net::{Front, FrontBody, Phase, ServeLimits};
+use meadowlug::net::{ClosedConnection, Front, FrontBody, Phase, ServeLimits};
 use rstest::rstest;
 use serde_json::json;
+use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -186,8 +187,9 @@
             answer.is_ok_and(|answer| answer.status == 504)
         })
         .await;
-        let told: Vec<_> =
-            reader.seen.borrow().iter().map(|seen| seen.headers["req-deadline"].clone()).collect();
+        let seen = reader.seen.borrow();
+        let attempts = seen.iter().filter(|seen| seen.path.starts_with("/v1/"));
+        let told: Vec<_> = attempts.map(|seen| seen.headers["req-deadline"].clone()).collect();
         let last =
             told.last().expect("it was read").trim_end_matches('m').parse::<u64>().expect("milliseconds");
         assert!(last <= 600, "{told:?}");
@@ -207,17 +209,25 @@
 }
 
 // Half of a request had come on a resting connection when the gateway was told to stop, and the rest came, or not, after
-// the time at which connections close.
+// the time at which connections close. Where clients do not ask for the rest of an answer its stream could still run when
+// the process is killed, and would be lost: the request is refused, with nothing begun.
 #[rstest]
 #[case::in_its_head(60, true)]
 #[case::in_its_body(180, true)]
 #[case::that_never_ends(60, false)]
 #[tokio::test]
-async fn half_a_request_on_a_resting_connection_at_a_stop(#[case] half: usize, #[case] ends: bool) {
+async fn half_a_request_on_a_resting_connection_at_a_stop(
+    #[case] half: usize,
+    #[case] ends: bool,
+    #[values(true, false)] resume: bool,
+) {
     local(async {
         let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
         let discovery = Discovery::start(&[&reader, &writer]).await;
-        let daemon = Daemon::start(&discovery, None).await;
+        let mut settings = Daemon::settings();
+        settings["extra"]["resume"] = json!(resume);
+        let daemon = Daemon::configured(settings, json!(null), json!({}), discovery.address, None).await;
+        until("ready", async || daemon.is_ready().await).await;
         let mut stream = resting(daemon.address).await;
         let text = chat_text("a1", "lookup");
         stream.write_all(&text.as_bytes()[..half]).await.expect("written");
@@ -228,14 +238,58 @@
         }
         let mut answer = String::new();
         stream.read_to_string(&mut answer).await.expect("not reset");
-        let expected = if ends { "HTTP/1.1 200" } else { "HTTP/1.1 408" };
+        let expected = match (ends, resume) {
+            (true, true) => "HTTP/1.1 200",
+            (true, false) => "HTTP/1.1 503",
+            (false, _) => "HTTP/1.1 408",
+        };
         assert!(answer.starts_with(expected), "{answer}");
-        assert_eq!(reader.count("/v1/"), 1 + usize::from(ends));
+        assert!(
+            !expected.ends_with("503") || answer.to_ascii_lowercase().contains("retry-after"),
+            "{answer}"
+        );
+        assert_eq!(reader.count("/v1/"), 1 + usize::from(ends && resume));
         tokio::time::timeout(Duration::from_secs(3), daemon.ended).await.expect("ends").expect("well");
     })
     .await;
 }
 
+// A request came byte by byte all through a stop. It is told that its time is over before the process is killed: had its
+// last byte come just then, it would have been taken and lost.
+#[rstest]
+#[case::in_its_head(1)]
+#[case::in_its_body(170)]
+#[tokio::test]
+async fn request_that_comes_slowly_through_a_stop_is_ended_before_the_kill(#[case] at_once: usize) {
+    local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        let discovery = Discovery::start(&[&reader, &writer]).await;
+        let daemon = Daemon::start(&discovery, None).await;
+        let (mut read, mut write) =
+            TcpStream::connect(daemon.address).await.expect("it listens").into_split();
+        let text = chat_text("a1", "lookup");
+        write.write_all(&text.as_bytes()[..at_once]).await.expect("written");
+        daemon.stop.notify_one();
+        let stopped = Instant::now();
+        let trickle = spawn_local(async move {
+            for byte in &text.as_bytes()[at_once..text.len() - 1] {
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                if write.write_all(&[*byte]).await.is_err() {
+                    return;
+                }
+            }
+            std::future::pending::<()>().await;
+        });
+        let mut answer = String::new();
+        let ended =
+            tokio::time::timeout(Duration::from_millis(3_650), read.read_to_string(&mut answer)).await;
+        assert!(ended.is_ok(), "still open after {:?}", stopped.elapsed());
+        assert!(answer.starts_with("HTTP/1.1 408") || answer.starts_with("HTTP/1.1 503"), "{answer}");
+        trickle.abort();
+    })
+    .await;
+}
+
 // A prompt was read and no writer took it when the gateway was told to stop: the request has its answer, and the state is
 // let go, before the process ends.
 #[tokio::test]
@@ -363,3 +417,132 @@
     })
     .await;
 }
+
+/// Answers after a while, and notes which requests it was given.
+#[derive(Default)]
+struct Slow {
+    given: RefCell<Vec<String>>,
+    closed: RefCell<Vec<ClosedConnection>>,
+}
+
+impl Front for Slow {
+    async fn handle(&self, request: Request<Incoming>) -> Response<FrontBody> {
+        let id = request.headers()["req-id"].to_str().expect("text").to_owned();
+        let slow = id.starts_with("late");
+        self.given.borrow_mut().push(id);
+        if slow {
+            tokio::time::sleep(Duration::from_millis(900)).await;
+        }
+        Response::new(FrontBody::Whole(Some("served".into())))
+    }
+
+    fn too_many(&self, _: &Request<Incoming>) -> Response<FrontBody> {
+        Response::new(FrontBody::Whole(Some("too many".into())))
+    }
+
+    fn contradicting(&self) -> Response<FrontBody> {
+        panic!("there is one length")
+    }
+
+    fn closed(&self, closed: &ClosedConnection) {
+        self.closed.borrow_mut().push(closed.clone());
+    }
+}
+
+// A new connection had a resting one closed for its place, in the very turn in which a request on that one was read. The
+// request was given half a second and then dropped with its connection, though it was under way.
+#[tokio::test]
+async fn request_read_as_its_resting_connection_is_to_make_room_is_answered() {
+    const RESTING: usize = 12;
+    local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let long = Duration::from_secs(10);
+        let limits = ServeLimits {
+            connections: RESTING,
+            spare: RESTING,
+            buffer: 8 << 10,
+            ahead: 64 << 10,
+            stall: long,
+            head: long,
+            idle: long,
+            idle_least: long,
+        };
+        let front = Rc::new(Slow::default());
+        let (_phase, phases) = watch::channel(Phase::Serving);
+        spawn_local(meadowlug::net::serve(listener, front.clone(), limits, phases));
+        let mut clients = Vec::new();
+        for n in 0..RESTING {
+            let mut stream = TcpStream::connect(address).await.expect("it listens");
+            stream.write_all(chat_text(&format!("first{n}"), "lookup").as_bytes()).await.expect("written");
+            let mut answer = Vec::new();
+            while !answer.ends_with(b"served") {
+                answer.push(stream.read_u8().await.expect("answered"));
+            }
+            clients.push(stream.into_std().expect("a socket"));
+        }
+        // The gateway's thread is held up here, so that both come in one turn of it: the connection first.
+        let new: Vec<_> =
+            (0..RESTING).map(|_| std::net::TcpStream::connect(address).expect("it listens")).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.write_all(chat_text(&format!("late{n}"), "lookup").as_bytes()).expect("written");
+        }
+        let answers = clients.into_iter().map(|client| {
+            spawn_local(async move {
+                let mut client = TcpStream::from_std(client).expect("a socket");
+                let mut answer = vec![0; 4 << 10];
+                let read = tokio::time::timeout(Duration::from_secs(3), client.read(&mut answer)).await;
+                let read = read.expect("answered or closed").unwrap_or(0);
+                answer.truncate(read);
+                answer
+            })
+        });
+        let answers: Vec<_> = answers.collect();
+        for (n, answer) in answers.into_iter().enumerate() {
+            let answer = answer.await.expect("well");
+            let given = front.given.borrow().contains(&format!("late{n}"));
+            // One that was not read may be sent again elsewhere; one that was is answered.
+            assert!(!given || answer.starts_with(b"HTTP/1.1 200"), "request {n} was begun and dropped");
+        }
+        assert!(front.given.borrow().iter().any(|id| id.starts_with("late")), "none was read at all");
+        let closed = front.closed.borrow();
+        assert!(closed.iter().all(|closed| closed.unanswered.is_none()), "{closed:?}");
+        drop(new);
+    })
+    .await;
+}
+
+// Every connection to engines was taken by attempts that waited: the calls that let states go found none, at any engine, and
+// were given up at once.
+#[tokio::test]
+async fn states_are_let_go_though_every_connection_is_in_use() {
+    local(async {
+        let reader = Engine::start("r1", "reader").await;
+        let writers = [
+            Engine::start("w1", "writer").await,
+            Engine::start("w2", "writer").await,
+            Engine::start("w3", "writer").await,
+        ];
+        writers.iter().for_each(|writer| writer.mode.set(Mode::Silent));
+        let discovery = Discovery::start(&[&reader, &writers[0], &writers[1], &writers[2]]).await;
+        // Room for eight clients, and for eight connections to engines.
+        let daemon = Daemon::within(json!({"memory_mb": 64, "sockets": 64}), &discovery, None).await;
+        let address = daemon.address;
+        let asked: Vec<_> = (0..8)
+            .map(|n| spawn_local(async move { chat(address, &format!("a{n}"), "correction", 9000).await }))
+            .collect();
+        until("read", async || reader.count("/v1/") >= 7).await;
+        // The span of the settings, and the 300 ms that the protocol adds to it.
+        tokio::time::sleep(Duration::from_millis(300 + 300)).await;
+        let read: Vec<_> =
+            reader.seen.borrow().iter().filter_map(|s| s.headers.get("req-id").cloned()).collect();
+        for id in read {
+            let path = format!("/state/{id}");
+            let released =
+                reader.count(&path) + writers.iter().map(|writer| writer.count(&path)).sum::<usize>();
+            assert!(released > 0, "{id} is held");
+        }
+        asked.iter().for_each(|task| task.abort());
+    })
+    .await;
+}
