--- a/tests/core.rs
+++ b/tests/core.rs
@@ -331,6 +331,25 @@
     .await;
 }
 
+// Where attempts may not be called off one that was still connecting was written after its request had been refused.
+#[tokio::test(start_paused = true)]
+async fn send_still_connecting_when_its_request_is_answered_is_not_written() {
+    local(async {
+        let fake = Fake::default();
+        let gateway = started_where(&fake, false);
+        let mut short = submission("a");
+        short.arrival.expires_in = 400_000;
+        let answer = gateway.submit(short).expect("taken").answer().await;
+        assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+        assert!(!fake.called.borrow().is_empty(), "it was on its way");
+        fake.connects.set(true);
+        fake.connected.notify_waiters();
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        assert!(fake.written.borrow().is_empty(), "{:?}", fake.written);
+    })
+    .await;
+}
+
 // A zone was cut off just after a read there: its engines were asked one after the other to let the state go,
 // and it stayed held for longer than the rule allows.
 #[tokio::test(start_paused = true)]
@@ -573,10 +592,10 @@
     (unix.as_micros() as u64).saturating_add_signed(STEP.get())
 }
 
-/// How many of 40 requests go to the second of two writers.
+/// How many of 200 requests go to the second of two writers.
 async fn share_of_second_writer(gateway: &Gateway<Fake>, fake: &Fake, name: &str) -> usize {
     let before = fake.written.borrow().len();
-    for n in 0..40 {
+    for n in 0..200 {
         pieces(gateway.submit(submission(&format!("{name}{n}"))).expect("taken").answer().await).await;
     }
     fake.written.borrow()[before..].iter().filter(|to| *to == "w2").count()
@@ -614,7 +633,8 @@
         let again = vec![listed(1, 0, "r1", ready), listed(11, 1, "w1", ready), started];
         gateway.tell(change(RosterForm::Full, again)).expect("it runs");
         let warm = share_of_second_writer(&gateway, &fake, "warm").await;
-        assert!(cold < 12 && warm > 12, "{cold} of 40 while cold, {warm} when warm");
+        // About a fifth is drawn for a server that starts, and half goes to one that is warm.
+        assert!(cold < 70 && warm > 75, "{cold} of 200 while cold, {warm} when warm");
     })
     .await;
 }
