Work out the window of repeats once, check quotas of starting servers alone, and drop a wrapper

From a last read of the change: is_spent and outlives_window had the same condition; the quota was worked out for every send, though it matters for servers in slow start alone; Signals held two things only to be split at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -131,20 +131,23 @@
         self.ran().map(|ran| ran.sent + window)
     }
 
+    /// Whether it is too late for a repeat, if that matters.
+    fn is_window_over(&self, now: Micros) -> bool {
+        self.repeat_before().is_some_and(|end| end <= now + REPEAT_MARGIN)
+    }
+
     /// Whether a repeat is out that may not have arrived as the window ends in which servers recognise it.
     /// Over a connection that has fallen silent it would come after that.
     fn outlives_window(&self, now: Micros) -> bool {
         let Some((last, earlier)) = self.attempts.split_last() else { return false };
         let repeats = !last.reading && earlier.iter().any(|attempt| attempt.may_have_run);
-        let ends = self.repeat_before().is_some_and(|end| end <= now + REPEAT_MARGIN);
-        last.out && !last.cancelled && repeats && ends && self.settings.may_cancel
+        last.out && !last.cancelled && repeats && self.is_window_over(now) && self.settings.may_cancel
     }
 
     /// Whether no further attempt can be made.
     fn is_spent(&self, now: Micros) -> bool {
-        let late = self.repeat_before().is_some_and(|end| end <= now + REPEAT_MARGIN);
         let unsafe_run = self.ran().is_some() && self.class().effect == Effect::Unsafe;
-        late || unsafe_run || self.attempts.len() >= self.settings.max_attempts as usize
+        self.is_window_over(now) || unsafe_run || self.attempts.len() >= self.settings.max_attempts as usize
     }
 }
 
@@ -696,8 +699,11 @@
     /// Checks what was just sent to a server against its quota, if it is in slow start.
     fn check_quota(&mut self, id: &RequestId, to: ServerId, work: f64) {
         let server = &self.servers[&to];
+        if self.warmth(server) >= 1.0 {
+            return;
+        }
         let quota = slow_start::quota(self.calls_in_window(server), self.replicas);
-        let bound = quota.filter(|quota| work <= *quota && self.warmth(server) < 1.0);
+        let bound = quota.filter(|quota| work <= *quota);
         if bound.is_some_and(|quota| self.sent_in_window(server) > quota) {
             self.over_quota.push((id.clone(), to));
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
 
 async fn serve() -> Result<(), Box<dyn Error>> {
     // First of all: a signal that nobody waits for ends the process.
-    let (stop, reload_asked) = net::Signals::listen()?.split();
+    let (stop, reload_asked) = net::listen_for_signals()?;
     let path = std::env::var_os("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
     let config = Config::decode(&std::fs::read(&path)?)?;
     let inference = match std::env::var_os("MEADOWLUG_INFERENCE") {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,4 +25,4 @@
 pub use listen::bind;
 pub use pool::{Pool, PoolLimits};
 pub use serve::{Front, FrontBody, Phase, serve};
-pub use signals::Signals;
+pub use signals::listen_for_signals;
