Reserve all that connections, requests and answers hold from one sum

Cause: limits counted bytes that wait, or one connection or answer, while a process is killed for what it has allocated. Connection::read_ahead grew up to M / 64, kept its capacity until the connection closed, and gave the budget back as its bytes were taken out: one connection after the other came to hold the whole budget. The sum of answers, of streams with large events and of pieces that each hold the buffer into which they were read had no limit at all.

Evidence: tests/memory samples the resident memory of a real process for each kind of load alone. Ruled out: heads of the maximum size (31 MB at 192), the log, lists of the module.

Change: src/memory.rs is one account from which connections of both sides, read-ahead, incoming bodies, open requests and answers reserve what they allocate and to which they return it. Read-ahead is stored in segments that are freed as the parser takes them; heads are counted in place of a list that kept its size. Answers are copied to a buffer of their size and wait for memory in order. What a connection buffers is 8 to 16 KiB. /ops/stats tells what is reserved, by kind. The test of the bounds counts the limit on all answers where it counted one answer, and the new sum.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 use crate::front::{BodyReader, Fronts, Inference, Management, Model, Platform};
 use crate::gateway::{self, ChangeContent, Changes, Gateway, Tuning};
 use crate::interface::Settings;
+use crate::memory::Memory;
 use crate::net::{self, DiscoveryCallParams, HttpEngines, Phase, Pool, PoolLimits, ServeLimits, Watch};
 use std::error::Error;
 use std::future::Future;
@@ -25,8 +26,7 @@
 const OPERATOR_STALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Maximum time for receiving the head of an operator's request.
 const OPERATOR_HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum number of bytes buffered for an operator's connection, and of bytes read ahead of the parser on
-/// all of these connections together.
+/// Maximum number of bytes buffered for an operator's connection.
 const OPERATOR_BUFFER_BYTES: usize = 8 << 10;
 /// One in this many engine connections is reserved for calls that release states.
 const RESERVED_CONNECTIONS_DIVISOR: usize = 16;
@@ -150,12 +150,14 @@
     listener: TcpListener,
     front: Management,
     (connections, extra_connections): (usize, usize),
+    memory: Arc<Memory>,
 ) {
     let limits = ServeLimits {
         connections,
         extra_connections,
         buffer_bytes: OPERATOR_BUFFER_BYTES,
-        read_ahead_bytes: OPERATOR_BUFFER_BYTES,
+        // The limit on all memory leaves out what these connections need.
+        connection_bytes: 0,
         stall_timeout: OPERATOR_STALL_TIMEOUT,
         head_timeout: OPERATOR_HEAD_TIMEOUT,
         idle_timeout: OPERATOR_STALL_TIMEOUT,
@@ -164,7 +166,7 @@
     let serving = watch::Sender::new(Phase::Serving);
     let phases = serving.subscribe();
     tokio::task::spawn_local(async move {
-        net::serve(listener, Rc::new(front), limits, phases).await;
+        net::serve(listener, Rc::new(front), limits, memory, phases).await;
         drop(serving);
     });
 }
@@ -188,13 +190,16 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), Box<dyn Error>> {
     let bounds = Bounds::from(config.resources);
-    let pool = Pool::new(PoolLimits {
+    let memory = Memory::new(bounds.memory);
+    let pool_limits = PoolLimits {
         connections: bounds.engine_connections,
         reserved_for_releases: (bounds.engine_connections / RESERVED_CONNECTIONS_DIVISOR).max(1),
         buffer_bytes: bounds.connection_buffer_bytes,
+        connection_bytes: bounds.connection_bytes,
         dial_timeout: config.dial_timeout,
         idle_timeout: config.idle_limit / 2,
-    });
+    };
+    let pool = Pool::with_memory(pool_limits, memory.clone());
     let (ended, mut driver_results) = mpsc::channel(1);
     // The id differs between processes even if their configured seeds are missing or equal: gateways with the
     // same seed would query discovery, and send to servers in slow start, at the same moments.
@@ -233,12 +238,13 @@
             gateway: chat.clone(),
             classes: config.names.classes.clone(),
             written_attempts,
+            memory: memory.clone(),
             shared: shared.clone(),
             phase: phase.clone(),
         };
-        serve_operators(listener, front, bounds.management_connections);
+        serve_operators(listener, front, bounds.management_connections, memory.clone());
     }
-    let body_reader = Rc::new(BodyReader::new(bounds.body_read_bytes, phases.clone()));
+    let body_reader = Rc::new(BodyReader::new(memory.clone(), bounds.request_bytes, phases.clone()));
     let fronts = Fronts {
         platform: Platform::new(chat.clone(), config.names, body_reader.clone()),
         inference: models.map(|models| Inference::new(models, body_reader, instance_id)),
@@ -250,14 +256,14 @@
         connections: bounds.client_connections,
         extra_connections: bounds.extra_client_connections,
         buffer_bytes: bounds.connection_buffer_bytes,
-        read_ahead_bytes: bounds.read_ahead_bytes,
+        connection_bytes: bounds.connection_bytes,
         stall_timeout: CLIENT_STALL_TIMEOUT,
         head_timeout: CLIENT_HEAD_TIMEOUT,
         idle_timeout: CLIENT_IDLE_TIMEOUT,
         min_idle: CLIENT_MIN_IDLE_TIMEOUT,
     };
     claim_when_ready(&chat, &shared);
-    let mut served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, phases));
+    let mut served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, memory, phases));
     tokio::select! {
         Some(result) = driver_results.recv() => return Err(format!("driver ended: {result}").into()),
         result = &mut served => return Err(format!("client listener ended: {result:?}").into()),
--- a/src/front/inference.rs
+++ b/src/front/inference.rs
@@ -160,11 +160,11 @@
 
     /// Answers a call.
     pub(super) async fn call(&self, api: Api, request: Request<Incoming>) -> Response<FrontBody> {
-        let ReceivedRequest { received_at, path, headers, body } = match self.body_reader.read(request).await
-        {
-            Ok(received) => received,
-            Err(response) => return response,
-        };
+        let ReceivedRequest { received_at, path, headers, body, reservation } =
+            match self.body_reader.read(request).await {
+                Ok(received) => received,
+                Err(response) => return response,
+            };
         let parsed = match api {
             Api::Embeddings => parse_embeddings(&body),
             Api::Rerank => parse_rerank(&body),
@@ -209,6 +209,7 @@
                 body,
                 idempotency_key: None,
                 processing: Processing::SingleStep { list, entries: summary.entries },
+                reservation,
             },
             size,
             key,
--- a/src/front/intake.rs
+++ b/src/front/intake.rs
@@ -3,15 +3,16 @@
 use super::reply;
 use crate::gateway::Rejected;
 use crate::interface::{Micros, RequestId};
+use crate::memory::{Memory, MemoryUse, Reservation};
 use crate::net::{FrontBody, Phase};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 
 /// Average number of bytes in a token, by which prompt lengths are estimated.
 pub(super) const BYTES_PER_TOKEN: usize = 4;
@@ -30,19 +31,23 @@
     pub(super) path: String,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// The memory of the request while it is open.
+    pub(super) reservation: Reservation,
 }
 
-/// Reads request bodies and limits the bytes of all bodies that are being read, because many bodies at once
-/// could exceed the memory of the process.
+/// Reads request bodies within the memory that is left for them.
 pub struct BodyReader {
-    byte_budget: Semaphore,
+    memory: Arc<Memory>,
+    /// Memory of an open request in addition to its body and path, in bytes.
+    request_bytes: usize,
     phase: watch::Receiver<Phase>,
 }
 
 impl BodyReader {
-    /// Creates a reader with a limit of `bytes` for all bodies. Reading ends when a planned stop has ended.
-    pub fn new(bytes: usize, phase: watch::Receiver<Phase>) -> Self {
-        Self { byte_budget: Semaphore::new(bytes), phase }
+    /// Creates a reader that reserves memory for each body, and for each request `request_bytes` in addition to
+    /// its body and path. Reading ends when a planned stop has ended.
+    pub fn new(memory: Arc<Memory>, request_bytes: usize, phase: watch::Receiver<Phase>) -> Self {
+        Self { memory, request_bytes, phase }
     }
 
     /// Waits until the planned stop has ended, after which no body is read any more.
@@ -66,9 +71,9 @@
             return Err(too_long());
         }
         let max_size = size_hint.upper().unwrap_or(MAX_BODY_BYTES as u64);
-        let Ok(_reserved_bytes) = self.byte_budget.try_acquire_many(max_size as u32) else {
-            return Err(reply::rejection(Rejected::Busy));
-        };
+        let busy = || reply::rejection(Rejected::Busy);
+        let incoming_body =
+            self.memory.try_reserve(MemoryUse::IncomingBody, max_size as usize).ok_or_else(busy)?;
         let read = tokio::time::timeout(BODY_READ_TIMEOUT, read_body(body, size_hint.lower() as usize));
         let read = tokio::select! {
             read = read => read,
@@ -85,7 +90,10 @@
             }
         };
         let path = head.uri.path_and_query().map_or_else(String::new, ToString::to_string);
-        Ok(ReceivedRequest { received_at, path, headers: head.headers, body })
+        drop(incoming_body);
+        let request_bytes = self.request_bytes + path.len() + body.len();
+        let reservation = self.memory.try_reserve(MemoryUse::OpenRequest, request_bytes).ok_or_else(busy)?;
+        Ok(ReceivedRequest { received_at, path, headers: head.headers, body, reservation })
     }
 }
 
@@ -98,17 +106,24 @@
 
 /// Reads a complete body. Reading fails if the body stalls, breaks or exceeds the maximum size.
 async fn read_body(mut body: Incoming, length: usize) -> Result<Bytes, BodyError> {
-    let mut bytes = BytesMut::with_capacity(length);
+    let mut bytes = Vec::with_capacity(length);
     loop {
         match tokio::time::timeout(BODY_STALL_TIMEOUT, body.frame()).await {
             Err(_) => return Err(BodyError::Stalled),
-            Ok(None) => return Ok(bytes.freeze()),
+            Ok(None) => {
+                bytes.shrink_to_fit();
+                return Ok(bytes.into());
+            }
             Ok(Some(Err(_))) => return Err(BodyError::Broken),
             Ok(Some(Ok(frame))) => {
                 let data = frame.data_ref().map_or(&[][..], |data| data);
                 if bytes.len() + data.len() > MAX_BODY_BYTES {
                     return Err(BodyError::Long);
                 }
+                if bytes.len() + data.len() > bytes.capacity() {
+                    let capacity = (2 * bytes.capacity()).max(bytes.len() + data.len()).min(MAX_BODY_BYTES);
+                    bytes.reserve_exact(capacity - bytes.len());
+                }
                 bytes.extend_from_slice(data);
             }
         }
--- a/src/front/management.rs
+++ b/src/front/management.rs
@@ -3,6 +3,7 @@
 use super::reply;
 use crate::config::SharedState;
 use crate::gateway::{Change, ChangeContent, Gateway, PREFIX};
+use crate::memory::{Memory, MemoryUse};
 use crate::net::{Front, FrontBody, HttpEngines, Phase};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -11,6 +12,7 @@
 use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -26,6 +28,8 @@
     pub classes: Vec<String>,
     /// Number of attempts that were completely written to an engine.
     pub written_attempts: Rc<Cell<u64>>,
+    /// The memory from which connections, requests and answers reserve.
+    pub memory: Arc<Memory>,
     /// State shared with the other processes of the gateway, which persists operator commands.
     pub shared: SharedState,
     /// Current phase of a drain or a planned stop.
@@ -107,6 +111,11 @@
         write_metric("upstream_tries", "counter", &unlabelled(self.written_attempts.get()));
         write_metric("in_progress", "gauge", &unlabelled(statistics.open_requests as u64));
         write_metric("known_engines", "gauge", &unlabelled(statistics.listed_engines as u64));
+        let reserved = MemoryUse::ALL.map(|memory_use| {
+            let label = format!("{{use=\"{}\"}}", memory_use.name());
+            (label, self.memory.reserved_bytes(memory_use) as u64)
+        });
+        write_metric("reserved_bytes", "gauge", &reserved);
         write_metric("skipped_engines", "gauge", &unlabelled(statistics.avoided_engines as u64));
         text += &self.gateway.metrics().text();
         reply::complete(StatusCode::OK, "text/plain; version=0.0.4", text.into())
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -9,6 +9,7 @@
 use crate::interface::{Arrival, Class, Micros, RequestId};
 use crate::net::{ClosedConnection, FrontBody, HttpEngines, Job, Processing};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -73,7 +74,8 @@
 
     /// Reads a request and submits it to the core. Returns the error response if the request is not accepted.
     async fn submit(&self, request: Request<Incoming>) -> Result<Ticket<HttpEngines>, Response<FrontBody>> {
-        let ReceivedRequest { received_at, path, headers, body } = self.body_reader.read(request).await?;
+        let ReceivedRequest { received_at, path, headers, body, reservation } =
+            self.body_reader.read(request).await?;
         let bad_request = |message: &str| reply::error(StatusCode::BAD_REQUEST, message);
         check_chat(&body).map_err(bad_request)?;
         // A request without a deadline header gets the deadline of its class in the current settings.
@@ -81,8 +83,11 @@
         let mut arrival = parsed.map_err(|message| bad_request(&message))?;
         arrival.expires_in = arrival.expires_in.saturating_sub(received_at.elapsed().as_micros() as Micros);
         let size = body.len();
-        let idempotency_key = headers.get("idempotency-key").cloned();
-        let job = Job { path, body, idempotency_key, processing: Processing::PrefillThenDecode };
+        // The key is copied, because a header value holds the buffer of the whole head.
+        let idempotency_key = headers.get("idempotency-key");
+        let idempotency_key = idempotency_key.and_then(|key| HeaderValue::from_bytes(key.as_bytes()).ok());
+        let processing = Processing::PrefillThenDecode;
+        let job = Job { path, body, idempotency_key, processing, reservation };
         let submission = Submission { arrival, job, size, key: None };
         self.gateway.submit(submission).map_err(reply::rejection)
     }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -144,7 +144,7 @@
         if let Some(Key { key, fingerprint }) = entry.key.take() {
             self.keys.remove(&key);
             if retain_answer {
-                let size = answer.retained_size();
+                let size = answer.retained_size() + key.len();
                 self.retained_bytes += size;
                 self.retained.push_back((Instant::now() + self.limits.answer_retention, key.clone(), size));
                 self.keys.insert(key, (fingerprint, KeyState::Completed(answer.copy_for_repeat())));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -217,7 +217,7 @@
         }
     }
 
-    /// Approximate memory of the answer while it is retained, in bytes.
+    /// Approximate memory of the answer while it is retained, without its key, in bytes.
     fn retained_size(&self) -> usize {
         let overhead = 256;
         match self {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod gateway;
 pub mod interface;
 pub mod log;
+pub mod memory;
 pub mod net;
 pub mod numeric;
 pub mod slow_start;
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -3,9 +3,10 @@
 
 use super::eviction::ServeLimits;
 use super::heads::{Framing, Heads};
+use super::read_ahead::{ReadAhead, SEGMENT_BYTES};
 use super::transport::{self, is_closed_or_has_input};
 use crate::gateway::{AttemptError, Progress};
-use bytes::BytesMut;
+use crate::memory::Memory;
 use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -13,6 +14,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -24,9 +26,7 @@
 /// data already passed to hyper is written out first.
 const WRITE_OUT_DELAY: Duration = Duration::from_millis(20);
 
-/// Maximum number of bytes per read ahead of the parser while a client waits for its response.
-const READ_AHEAD_BYTES: usize = 2 << 10;
-/// Interval at which a connection is checked for a disconnect once the read-ahead budget is used up.
+/// Interval at which a connection is checked for a disconnect while no memory is left for reading ahead.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The client has closed or reset its connection, or has
@@ -53,9 +53,7 @@
     pub(super) stream: Rc<TcpStream>,
     heads: RefCell<Heads>,
     /// Bytes received after the request in progress, which the parser reads once that request is finished.
-    read_ahead: RefCell<BytesMut>,
-    /// Remaining read-ahead budget in bytes, shared by all connections.
-    read_ahead_budget: Rc<Cell<usize>>,
+    read_ahead: RefCell<ReadAhead>,
     /// True once the client has shut down its sending side or the connection has failed.
     read_ended: Cell<bool>,
     /// Number of requests that are being answered.
@@ -76,13 +74,12 @@
 }
 
 impl Connection {
-    pub(super) fn new(stream: Rc<TcpStream>, read_ahead_budget: Rc<Cell<usize>>) -> Self {
+    pub(super) fn new(stream: Rc<TcpStream>, memory: Arc<Memory>) -> Self {
         let now = Instant::now();
         Self {
             stream,
             heads: RefCell::default(),
-            read_ahead: RefCell::default(),
-            read_ahead_budget,
+            read_ahead: RefCell::new(ReadAhead::new(memory)),
             read_ended: Cell::new(false),
             requests_in_progress: Cell::new(0),
             unanswered_id: RefCell::default(),
@@ -136,7 +133,7 @@
     /// more, so this method reads those bytes and keeps them for the parser.
     pub(super) async fn wait_for_disconnect(&self) -> ClientDisconnected {
         while !self.read_ended.get() {
-            if self.read_ahead_budget.get() >= READ_AHEAD_BYTES {
+            if self.read_ahead.borrow().room() > 0 {
                 poll_fn(|context| self.poll_read_ahead(context)).await;
             } else {
                 // The end of the stream stands behind unread bytes, so only the poller can report it.
@@ -152,15 +149,15 @@
 
     /// Reads ahead of the parser; ready once bytes or the end of the stream have arrived.
     fn poll_read_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
-        let mut bytes = [0; READ_AHEAD_BYTES];
-        let mut buffer = ReadBuf::new(&mut bytes);
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let mut bytes = [0; SEGMENT_BYTES];
+        let mut buffer = ReadBuf::new(&mut bytes[..read_ahead.room()]);
         let read = ready!(transport::poll_read(&self.stream, context, &mut buffer));
         if read.is_err() || buffer.filled().is_empty() {
             self.read_ended.set(true);
         } else {
             self.record_received(buffer.filled());
-            self.read_ahead_budget.set(self.read_ahead_budget.get().saturating_sub(buffer.filled().len()));
-            self.read_ahead.borrow_mut().extend_from_slice(buffer.filled());
+            read_ahead.push(buffer.filled());
         }
         Poll::Ready(())
     }
@@ -224,12 +221,6 @@
     }
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.read_ahead_budget.set(self.read_ahead_budget.get() + self.read_ahead.borrow().len());
-    }
-}
-
 /// A request that is being answered on a connection.
 pub(super) struct RequestInProgress(Rc<Connection>);
 
@@ -321,9 +312,7 @@
     ) -> Poll<io::Result<()>> {
         let mut read_ahead = self.0.read_ahead.borrow_mut();
         if !read_ahead.is_empty() {
-            let count = read_ahead.len().min(buffer.remaining());
-            buffer.put_slice(&read_ahead.split_to(count));
-            self.0.read_ahead_budget.set(self.0.read_ahead_budget.get() + count);
+            read_ahead.take(buffer);
             return Poll::Ready(Ok(()));
         }
         if self.0.read_ended.get() {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -49,6 +49,7 @@
             connections: 2,
             reserved_for_releases: 0,
             buffer_bytes: BUFFER_BYTES,
+            connection_bytes: 0,
             dial_timeout: CALL_GRACE,
             idle_timeout: MAX_WAIT,
         };
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -1,13 +1,15 @@
 //! Engines over HTTP/1.1: attempts, their responses, and releases.
 
-use super::events::Events;
+use super::answer::read_body;
+use super::events::{Events, MAX_EVENT_BYTES};
 use super::pool::{Channel, Pool};
 use super::transport::WriteWatch;
 use crate::config::LoadReportFields;
 use crate::gateway::{AttemptError, Call, EngineReply, Engines, EventStream, Progress, Reply};
 use crate::interface::{Load, RequestId};
+use crate::memory::{MemoryUse, Reservation};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
@@ -36,8 +38,11 @@
     },
 }
 
+/// Memory that is reserved for a large event of a stream, in bytes. The buffer may have twice the size of the event.
+const LARGE_EVENT_MEMORY: usize = 2 * MAX_EVENT_BYTES;
+
 /// A request in the form in which it is sent to engines.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Job {
     /// Path and query of the request.
     pub path: String,
@@ -47,6 +52,8 @@
     pub idempotency_key: Option<HeaderValue>,
     /// How engines process the request.
     pub processing: Processing,
+    /// The memory of the request, which is held until it has ended.
+    pub reservation: Reservation,
 }
 
 /// The engines behind a pool of connections.
@@ -106,16 +113,6 @@
     }
 }
 
-/// Reads a response body to its end.
-async fn read_body(channel: &Channel, body: Incoming, max_bytes: usize) -> Result<Bytes, AttemptError> {
-    let read = Limited::new(body, max_bytes).collect().await;
-    let read_error = |e: Box<dyn std::error::Error + Send + Sync>| match e.downcast::<hyper::Error>() {
-        Ok(error) => channel.connection_error(*error),
-        Err(error) => AttemptError::new(Progress::FullyWritten, error),
-    };
-    Ok(read.map_err(read_error)?.to_bytes())
-}
-
 /// Returns true if a response proves that its request never ran.
 /// The header `srv-declined` has that meaning only with these statuses.
 fn is_declined(status: StatusCode, headers: &HeaderMap) -> bool {
@@ -180,7 +177,7 @@
             if call.job.processing == Processing::PrefillThenDecode && head.status == StatusCode::OK {
                 let connected_at = channel.opened;
                 let (events, connection) = (Events::new(max_bytes), Some((pool, call.endpoint, channel)));
-                let events = HttpEvents { body: Some(body), events, connection };
+                let events = HttpEvents { body: Some(body), events, event_memory: None, connection };
                 return Ok(EngineReply { reply: Reply::Events(events), load, connected_at });
             }
             let max_bytes = if call.job.processing == Processing::PrefillThenDecode {
@@ -188,7 +185,7 @@
             } else {
                 max_bytes
             };
-            let body = read_body(&channel, body, max_bytes).await?;
+            let body = read_body(&pool, &channel, body, max_bytes).await?;
             let connected_at = channel.opened;
             pool.put_back(call.endpoint, channel);
             let declined = is_declined(head.status, &head.headers);
@@ -211,7 +208,7 @@
             let mut channel = pool.acquire_for_release(&endpoint).await?;
             let response = channel.send(request, 0, WriteWatch::default()).await?;
             let status = response.status();
-            read_body(&channel, response.into_body(), MAX_SHORT_BODY_BYTES).await?;
+            read_body(&pool, &channel, response.into_body(), MAX_SHORT_BODY_BYTES).await?;
             pool.put_back(endpoint, channel);
             let rejected = || AttemptError::new(Progress::FullyWritten, format!("status {status}"));
             status.is_success().then_some(()).ok_or_else(rejected)
@@ -225,7 +222,7 @@
             let mut channel = pool.acquire(&endpoint).await?;
             let response = channel.send(request, 0, WriteWatch::default()).await?;
             let status = response.status();
-            let body = read_body(&channel, response.into_body(), MAX_SHORT_BODY_BYTES).await?;
+            let body = read_body(&pool, &channel, response.into_body(), MAX_SHORT_BODY_BYTES).await?;
             pool.put_back(endpoint, channel);
             let failed = || AttemptError::new(Progress::FullyWritten, format!("status {status}"));
             status.is_success().then(|| load_fields.parse(&body)).ok_or_else(failed)
@@ -242,6 +239,8 @@
     /// The rest of the body, until its end.
     body: Option<Incoming>,
     events: Events,
+    /// The memory of an event that is larger than what the reservation of the request covers.
+    event_memory: Option<Reservation>,
     /// The connection, until the response has ended.
     connection: Option<(Rc<Pool>, Arc<str>, Channel)>,
 }
@@ -252,6 +251,35 @@
         (self.body, self.connection) = (None, None);
         AttemptError::new(Progress::FullyWritten, cause)
     }
+
+    /// Reserves memory while an event is large, and binds it to the event once that is complete. Events are
+    /// not delayed until memory is left, because all streams with a large event could wait for each other.
+    fn charge(&mut self, ready: Option<Bytes>) -> Result<Option<Bytes>, &'static str> {
+        let Some((pool, _, _)) = &self.connection else { return Ok(ready) };
+        let covered_bytes = pool.buffer_bytes();
+        let is_large = |bytes: usize| bytes > covered_bytes;
+        let ready_is_large = ready.as_ref().is_some_and(|ready| is_large(ready.len()));
+        let pending_is_large = is_large(self.events.pending_bytes());
+        let reserve = || {
+            pool.memory()
+                .try_reserve(MemoryUse::Answer, LARGE_EVENT_MEMORY)
+                .ok_or("no memory for a large event")
+        };
+        if self.event_memory.is_none() && (ready_is_large || pending_is_large) {
+            self.event_memory = Some(reserve()?);
+        }
+        if !ready_is_large {
+            if !pending_is_large {
+                self.event_memory = None;
+            }
+            return Ok(ready);
+        }
+        let ready_memory = self.event_memory.take();
+        if pending_is_large {
+            self.event_memory = Some(reserve()?);
+        }
+        Ok(ready.zip(ready_memory).map(|(ready, memory)| memory.bind_to(ready)))
+    }
 }
 
 impl EventStream for HttpEvents {
@@ -265,7 +293,7 @@
                     self.events.end()
                 }
             };
-            match parsed {
+            match parsed.and_then(|ready| self.charge(ready)) {
                 Ok(None) => {}
                 Ok(Some(events)) => return Poll::Ready(Some(Ok(events))),
                 Err(cause) => return Poll::Ready(Some(Err(self.close_with_error(cause)))),
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -6,7 +6,7 @@
 use serde::de::IgnoredAny;
 
 /// Maximum size of one event in bytes; a chunk that never ends would otherwise be buffered without limit.
-const MAX_EVENT_BYTES: usize = 64 << 10;
+pub(super) const MAX_EVENT_BYTES: usize = 64 << 10;
 /// The field names that an event may have.
 const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 
@@ -73,11 +73,27 @@
             self.complete_bytes += length;
             self.has_first_event |= has_data;
         }
+        if !self.has_first_event && self.pending.len() > MAX_EVENT_BYTES {
+            return Err("too much precedes the first event");
+        }
         if self.pending.len() - self.complete_bytes > MAX_EVENT_BYTES {
             return Err("an event exceeds the maximum size");
         }
         let ready_bytes = if self.has_first_event { std::mem::take(&mut self.complete_bytes) } else { 0 };
-        Ok((ready_bytes > 0).then(|| self.pending.split_to(ready_bytes).freeze()))
+        Ok((ready_bytes > 0).then(|| self.take_ready(ready_bytes)))
+    }
+
+    /// Takes the complete events. What remains is moved to a buffer of its own size.
+    fn take_ready(&mut self, ready_bytes: usize) -> Bytes {
+        let rest = BytesMut::from(&self.pending[ready_bytes..]);
+        let mut ready = std::mem::replace(&mut self.pending, rest);
+        ready.truncate(ready_bytes);
+        ready.freeze()
+    }
+
+    /// Returns the number of bytes that were not passed on yet.
+    pub(super) fn pending_bytes(&self) -> usize {
+        self.pending.len()
     }
 
     /// Returns the length of the next complete event, if any, and true if it carries data.
--- a/src/net/eviction.rs
+++ b/src/net/eviction.rs
@@ -1,9 +1,11 @@
 //! All client connections: their maximum number, and which idle ones are closed to make room for new ones.
 
 use super::connection::Connection;
+use crate::memory::{Memory, MemoryUse, Reservation};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -17,8 +19,8 @@
     pub extra_connections: usize,
     /// Maximum size of a request head, and of the read buffer of a connection, in bytes.
     pub buffer_bytes: usize,
-    /// Maximum number of bytes read ahead of the parser, on all connections together.
-    pub read_ahead_bytes: usize,
+    /// Memory that is reserved for a connection while it is open, in bytes.
+    pub connection_bytes: usize,
     /// Maximum time without data before the first request or within a request.
     pub stall_timeout: Duration,
     /// Maximum time in which a request head must arrive.
@@ -35,11 +37,16 @@
 /// to make room: until then its first request may be on its way.
 const MIN_IDLE_WITHOUT_REQUEST: Duration = Duration::from_millis(50);
 
+/// Maximum time that a new connection waits for the memory of one that closes for it.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(700);
+
 /// All client connections of one listener.
 pub(super) struct Connections {
     limits: ServeLimits,
     by_number: RefCell<BTreeMap<u64, Rc<Connection>>>,
-    read_ahead_budget: Rc<Cell<usize>>,
+    memory: Arc<Memory>,
+    /// Number of open connections whose request is refused; no memory is reserved for them.
+    over_limit: Cell<usize>,
     next_number: Cell<u64>,
 }
 
@@ -55,21 +62,39 @@
 
 /// The registration of an open connection, which ends when it is dropped.
 pub(super) struct Registration {
-    connections: Rc<Connections>,
+    pub(super) connections: Rc<Connections>,
     pub(super) number: u64,
     pub(super) connection: Rc<Connection>,
+    is_over_limit: Cell<bool>,
+}
+
+impl Registration {
+    /// Records that the request on this connection is refused.
+    pub(super) fn mark_over_limit(&self) {
+        if !self.is_over_limit.replace(true) {
+            self.connections.over_limit.set(self.connections.over_limit.get() + 1);
+        }
+    }
 }
 
 impl Drop for Registration {
     fn drop(&mut self) {
+        if self.is_over_limit.get() {
+            self.connections.over_limit.set(self.connections.over_limit.get() - 1);
+        }
         self.connections.by_number.borrow_mut().remove(&self.number);
     }
 }
 
 impl Connections {
-    pub(super) fn new(limits: ServeLimits) -> Rc<Self> {
-        let read_ahead_budget = Rc::new(Cell::new(limits.read_ahead_bytes));
-        Rc::new(Self { limits, by_number: RefCell::default(), read_ahead_budget, next_number: Cell::new(0) })
+    pub(super) fn new(limits: ServeLimits, memory: Arc<Memory>) -> Rc<Self> {
+        Rc::new(Self {
+            limits,
+            by_number: RefCell::default(),
+            memory,
+            over_limit: Cell::new(0),
+            next_number: Cell::new(0),
+        })
     }
 
     pub(super) fn open_count(&self) -> usize {
@@ -84,17 +109,22 @@
             // A connection that was just asked to close does so in its own task, which can run now.
             tokio::task::yield_now().await;
         }
-        if self.open_count() >= max_open {
+        if self.open_count() >= max_open
+            || over_limit && self.over_limit.get() >= self.limits.extra_connections
+        {
             return Admission::Closed;
         }
-        let (number, connection) = (
-            self.next_number.get(),
-            Rc::new(Connection::new(Rc::new(stream), self.read_ahead_budget.clone())),
-        );
+        let (number, connection) =
+            (self.next_number.get(), Rc::new(Connection::new(Rc::new(stream), self.memory.clone())));
         self.next_number.set(number + 1);
         self.by_number.borrow_mut().insert(number, connection.clone());
-        let registration = Registration { connections: self.clone(), number, connection };
-        if over_limit { Admission::OverLimit(registration) } else { Admission::Served(registration) }
+        let is_over_limit = Cell::new(false);
+        let registration = Registration { connections: self.clone(), number, connection, is_over_limit };
+        if over_limit {
+            registration.mark_over_limit();
+            return Admission::OverLimit(registration);
+        }
+        Admission::Served(registration)
     }
 
     /// If slots are scarce, asks the connection whose loss matters least to close.
@@ -102,8 +132,10 @@
     fn make_room(&self) -> bool {
         let open = self.by_number.borrow();
         let staying = open.values().filter(|connection| !connection.is_closing()).count();
-        let at_limit = staying >= self.limits.connections;
-        if (staying as f64) < self.limits.connections as f64 * CROWDED_FRACTION {
+        let lacks_memory =
+            self.memory.available_bytes(MemoryUse::ClientConnection) < self.limits.connection_bytes;
+        let at_limit = staying >= self.limits.connections || lacks_memory;
+        if !at_limit && (staying as f64) < self.limits.connections as f64 * CROWDED_FRACTION {
             return false;
         }
         let idle = open.values().filter_map(|connection| Some((connection.idle_time()?, connection)));
@@ -128,6 +160,13 @@
         }
     }
 
+    /// Reserves the memory of a connection that is to be served. If it is registered in place of another, that
+    /// one returns its memory as it closes. Returns `None` if the memory is not returned in time.
+    pub(super) async fn reserve_memory(&self) -> Option<Reservation> {
+        let reservation = self.memory.reserve(MemoryUse::ClientConnection, self.limits.connection_bytes);
+        tokio::time::timeout(MAX_MEMORY_WAIT, reservation).await.ok().flatten()
+    }
+
     /// Asks all connections on which no request is being answered to close.
     pub(super) fn close_all(&self) {
         for connection in self.by_number.borrow().values().filter(|connection| !connection.is_answering()) {
--- a/src/net/heads.rs
+++ b/src/net/heads.rs
@@ -2,8 +2,6 @@
 //! content length and a transfer encoding, which conflict, the HTTP parser drops one of them and no longer
 //! shows that there were two.
 
-use std::collections::VecDeque;
-
 /// Maximum length of a header line whose value is parsed,
 /// in bytes; a content length in a longer line is invalid.
 const MAX_LINE_BYTES: usize = 256;
@@ -42,8 +40,10 @@
     chunked: bool,
     /// The content length of the current head, an error if it is unreadable.
     length: Option<Result<u64, ()>>,
-    /// The framings of complete heads that were not retrieved yet.
-    framings: VecDeque<Framing>,
+    /// Number of complete heads with `Framing::Length` that were not retrieved yet.
+    length_framed: usize,
+    /// The framing of a head after these, if it is another one. No head is tracked behind it.
+    last: Option<Framing>,
 }
 
 impl Heads {
@@ -109,12 +109,19 @@
         };
         self.lines = 0;
         self.position = position;
-        self.framings.push_back(framing);
+        match framing {
+            Framing::Length => self.length_framed += 1,
+            Framing::Chunks | Framing::Both => self.last = Some(framing),
+        }
     }
 
     /// Returns the framing of the next request, or `None` if its head has not arrived completely.
     pub(super) fn next(&mut self) -> Option<Framing> {
-        self.framings.pop_front()
+        if self.length_framed == 0 {
+            return self.last.take();
+        }
+        self.length_framed -= 1;
+        Some(Framing::Length)
     }
 
     /// Returns true while a request has been received in part, as far as that is known.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Networking: connections to engines, the discovery client, the server side, and signals.
 
 mod accept;
+mod answer;
 mod backoff;
 mod closing;
 mod connection;
@@ -12,6 +13,7 @@
 mod inherited;
 mod listen;
 mod pool;
+mod read_ahead;
 mod serve;
 mod signals;
 mod transport;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -3,6 +3,7 @@
 
 use super::transport::{Meter, MeteredStream, WriteWatch, is_closed_or_has_input};
 use crate::gateway::{AttemptError, Progress};
+use crate::memory::{Memory, MemoryLimits, MemoryUse, Reservation};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -26,6 +27,8 @@
     pub reserved_for_releases: usize,
     /// Maximum size of a response head, and of the read buffer of a connection, in bytes.
     pub buffer_bytes: usize,
+    /// Memory that is reserved for a connection while it is open, in bytes.
+    pub connection_bytes: usize,
     /// Maximum time to establish a connection.
     pub dial_timeout: Duration,
     /// Maximum idle time of a connection; well below the idle timeout of the engines.
@@ -56,6 +59,7 @@
     /// True while the response to a sent request has not been read to its end.
     in_use: bool,
     _open_count: OpenCount,
+    _reservation: Reservation,
 }
 
 impl Drop for Channel {
@@ -111,14 +115,30 @@
 /// The connections of one gateway to engines.
 pub struct Pool {
     limits: PoolLimits,
+    memory: Arc<Memory>,
     open_connections: Rc<Cell<usize>>,
     idle: RefCell<HashMap<Arc<str>, Vec<Idle>>>,
 }
 
 impl Pool {
-    /// Creates an empty pool.
+    /// Creates an empty pool whose connections and answers are not charged to the memory limit.
     pub fn new(limits: PoolLimits) -> Rc<Self> {
-        Rc::new(Self { limits, open_connections: Rc::default(), idle: RefCell::default() })
+        Self::with_memory(limits, Memory::new(MemoryLimits::UNLIMITED))
+    }
+
+    /// Creates an empty pool that reserves the memory of its connections and of the answers on them.
+    pub fn with_memory(limits: PoolLimits, memory: Arc<Memory>) -> Rc<Self> {
+        Rc::new(Self { limits, memory, open_connections: Rc::default(), idle: RefCell::default() })
+    }
+
+    /// Returns the memory to which connections and answers are charged.
+    pub(super) fn memory(&self) -> &Arc<Memory> {
+        &self.memory
+    }
+
+    /// Returns the number of bytes of an answer that are covered by the reservation of its connection.
+    pub(super) fn buffer_bytes(&self) -> usize {
+        self.limits.buffer_bytes
     }
 
     /// Returns an idle connection, or a new one, for an attempt.
@@ -152,7 +172,21 @@
         if self.open_connections.get() >= max_connections {
             return Err(AttemptError::new(Progress::NotConnected, "all connections are in use"));
         }
-        self.connect(endpoint).await
+        let reservation = self.reserve_connection().ok_or_else(|| {
+            AttemptError::new(Progress::NotConnected, "no memory is left for another connection")
+        })?;
+        self.connect(endpoint, reservation).await
+    }
+
+    /// Reserves the memory of a new connection. Closes idle connections while too little is left.
+    fn reserve_connection(&self) -> Option<Reservation> {
+        loop {
+            let reservation =
+                self.memory.try_reserve(MemoryUse::EngineConnection, self.limits.connection_bytes);
+            if reservation.is_some() || !self.close_one_idle() {
+                return reservation;
+            }
+        }
     }
 
     fn pop_reusable(&self, endpoint: &str) -> Option<Idle> {
@@ -162,13 +196,14 @@
         Some(connections.remove(index))
     }
 
-    fn close_one_idle(&self) {
+    /// Closes the connection that has been idle for the longest time. Returns false if none is idle.
+    fn close_one_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle.values_mut().filter(|i| !i.is_empty()).min_by_key(|i| i[0].since);
-        oldest.map(|connections| connections.remove(0));
+        oldest.map(|connections| connections.remove(0)).is_some()
     }
 
-    async fn connect(&self, endpoint: &str) -> Result<Channel, AttemptError> {
+    async fn connect(&self, endpoint: &str, reservation: Reservation) -> Result<Channel, AttemptError> {
         self.open_connections.set(self.open_connections.get() + 1);
         let open_count = OpenCount(self.open_connections.clone());
         let not_connected = |cause: String| AttemptError::new(Progress::NotConnected, cause);
@@ -186,7 +221,16 @@
         // An error of the connection reaches the request in progress; an idle connection is simply replaced.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
         let opened = tokio::time::Instant::now();
-        Ok(Channel { sender, stream, meter, task, opened, in_use: false, _open_count: open_count })
+        Ok(Channel {
+            sender,
+            stream,
+            meter,
+            task,
+            opened,
+            in_use: false,
+            _open_count: open_count,
+            _reservation: reservation,
+        })
     }
 
     /// Returns a connection to the pool once its response has been read to its end.
--- /dev/null
+++ b/src/net/read_ahead.rs
@@ -0,0 +1,143 @@
+//! Bytes that were received behind a request that is still being answered, until the parser takes them.
+
+use crate::memory::{Memory, MemoryUse, Reservation};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use tokio::io::ReadBuf;
+
+/// Size of the segments in which the bytes are stored.
+pub(super) const SEGMENT_BYTES: usize = 2 << 10;
+/// Number of segments for which space in the list is kept.
+const MIN_LIST_CAPACITY: usize = 8;
+
+/// A part of the bytes. Its memory is reserved as a whole, however few bytes it holds.
+struct Segment {
+    bytes: Vec<u8>,
+    /// Number of bytes at the start that the parser has taken.
+    taken: usize,
+    _reservation: Reservation,
+}
+
+/// The bytes that were read ahead on one connection. Each segment is freed once the parser has taken its bytes.
+pub(super) struct ReadAhead {
+    segments: VecDeque<Segment>,
+    memory: Arc<Memory>,
+}
+
+impl ReadAhead {
+    pub(super) fn new(memory: Arc<Memory>) -> Self {
+        Self { segments: VecDeque::new(), memory }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.segments.is_empty()
+    }
+
+    /// Returns the number of bytes that `push` accepts now, `SEGMENT_BYTES` at most.
+    pub(super) fn room(&self) -> usize {
+        if self.memory.available_bytes(MemoryUse::ReadAhead) >= SEGMENT_BYTES {
+            return SEGMENT_BYTES;
+        }
+        self.segments.back().map_or(0, |segment| SEGMENT_BYTES - segment.bytes.len())
+    }
+
+    /// Stores received bytes, of which there are at most as many as there is room for.
+    pub(super) fn push(&mut self, bytes: &[u8]) {
+        debug_assert!(bytes.len() <= self.room());
+        let free = self.segments.back().map_or(0, |segment| SEGMENT_BYTES - segment.bytes.len());
+        let (first, rest) = bytes.split_at(free.min(bytes.len()));
+        if let Some(segment) = self.segments.back_mut() {
+            segment.bytes.extend_from_slice(first);
+        }
+        if !rest.is_empty()
+            && let Some(reservation) = self.memory.try_reserve(MemoryUse::ReadAhead, SEGMENT_BYTES)
+        {
+            let mut segment =
+                Segment { bytes: Vec::with_capacity(SEGMENT_BYTES), taken: 0, _reservation: reservation };
+            segment.bytes.extend_from_slice(rest);
+            self.segments.push_back(segment);
+        }
+    }
+
+    /// Moves bytes to the parser's buffer.
+    pub(super) fn take(&mut self, buffer: &mut ReadBuf<'_>) {
+        while buffer.remaining() > 0
+            && let Some(segment) = self.segments.front_mut()
+        {
+            let waiting = &segment.bytes[segment.taken..];
+            let count = waiting.len().min(buffer.remaining());
+            buffer.put_slice(&waiting[..count]);
+            segment.taken += count;
+            if segment.taken == segment.bytes.len() {
+                self.segments.pop_front();
+            }
+        }
+        if self.segments.len() < self.segments.capacity() / 4 {
+            self.segments.shrink_to((2 * self.segments.len()).max(MIN_LIST_CAPACITY));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::memory::MemoryLimits;
+    use rstest::rstest;
+
+    fn memory(segments: usize) -> Arc<Memory> {
+        let limits = MemoryLimits { read_ahead_bytes: segments * SEGMENT_BYTES, ..MemoryLimits::UNLIMITED };
+        Memory::new(limits)
+    }
+
+    /// Takes at most `count` bytes.
+    fn take(read_ahead: &mut ReadAhead, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        let mut buffer = ReadBuf::new(&mut bytes);
+        read_ahead.take(&mut buffer);
+        buffer.filled().to_vec()
+    }
+
+    #[rstest]
+    fn bytes_are_taken_in_the_order_of_their_arrival(#[values(1, 700, 2048)] piece: usize) {
+        let mut read_ahead = ReadAhead::new(memory(4));
+        let bytes: Vec<u8> = (0..6000u32).map(|n| n as u8).collect();
+        for piece in bytes.chunks(piece) {
+            assert!(read_ahead.room() >= piece.len());
+            read_ahead.push(piece);
+        }
+        let taken: Vec<u8> = std::iter::from_fn(|| Some(take(&mut read_ahead, 999)))
+            .take_while(|taken| !taken.is_empty())
+            .flatten()
+            .collect();
+        assert!(taken == bytes && read_ahead.is_empty());
+    }
+
+    // The buffer kept the largest capacity it ever had until its connection closed, while the budget for all
+    // connections counted the bytes that waited: one connection after the other came to hold the whole budget.
+    #[test]
+    fn capacity_is_returned_as_the_bytes_are_taken() {
+        let memory = memory(64);
+        let mut read_ahead = ReadAhead::new(memory.clone());
+        while read_ahead.room() > 0 {
+            read_ahead.push(&[7; SEGMENT_BYTES][..read_ahead.room()]);
+        }
+        assert_eq!(memory.reserved_bytes(MemoryUse::ReadAhead), 64 * SEGMENT_BYTES);
+        take(&mut read_ahead, 63 * SEGMENT_BYTES);
+        assert_eq!(memory.reserved_bytes(MemoryUse::ReadAhead), SEGMENT_BYTES);
+        assert!(read_ahead.segments.capacity() <= 2 * MIN_LIST_CAPACITY);
+        take(&mut read_ahead, SEGMENT_BYTES);
+        assert_eq!(memory.reserved_bytes(MemoryUse::ReadAhead), 0);
+    }
+
+    // A client that sends single bytes must not be charged less than what is allocated for them.
+    #[test]
+    fn single_bytes_are_charged_with_their_segment() {
+        let memory = memory(2);
+        let mut read_ahead = ReadAhead::new(memory.clone());
+        let mut other = ReadAhead::new(memory.clone());
+        read_ahead.push(&[1]);
+        other.push(&[1]);
+        assert_eq!(memory.available_bytes(MemoryUse::ReadAhead), 0);
+        assert_eq!(read_ahead.room(), SEGMENT_BYTES - 1);
+    }
+}
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -8,6 +8,7 @@
 use super::eviction::{Admission, Connections, Registration, ServeLimits};
 use super::heads::Framing;
 use crate::gateway::{AttemptError, Relay};
+use crate::memory::Memory;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
@@ -17,6 +18,7 @@
 use socket2::SockRef;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -119,9 +121,10 @@
     listener: TcpListener,
     front: Rc<F>,
     limits: ServeLimits,
+    memory: Arc<Memory>,
     mut phase: watch::Receiver<Phase>,
 ) {
-    let connections = Connections::new(limits);
+    let connections = Connections::new(limits, memory);
     let mut overdue_check = tokio::time::interval(OVERDUE_CHECK_INTERVAL);
     overdue_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let phases = phase.clone();
@@ -186,6 +189,11 @@
     mut phase: watch::Receiver<Phase>,
 ) {
     let connection = registration.connection.clone();
+    let reservation = if over_limit { None } else { registration.connections.reserve_memory().await };
+    let over_limit = reservation.is_none();
+    if over_limit {
+        registration.mark_over_limit();
+    }
     // A client that has vanished or no longer reads must not hold its connection and stream forever.
     let configured = connection.stream.set_nodelay(true);
     let configured = configured.and_then(|()| {
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -167,6 +167,7 @@
             connections: 4,
             reserved_for_releases: 0,
             buffer_bytes: 8 << 10,
+            connection_bytes: 0,
             dial_timeout,
             idle_timeout,
         });
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -4,6 +4,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use loopback::*;
+use meadowlug::memory::{Memory, MemoryLimits};
 use meadowlug::net::{ClosedConnection, Front, FrontBody, Phase, ServeLimits};
 use rstest::rstest;
 use serde_json::json;
@@ -124,14 +125,15 @@
             connections: 64,
             extra_connections: 0,
             buffer_bytes: 8 << 10,
-            read_ahead_bytes: 8 << 10,
+            connection_bytes: 0,
             stall_timeout: one_second,
             head_timeout: one_second,
             idle_timeout: one_second,
             min_idle: one_second,
         };
         let (_phase, phases) = watch::channel(phase);
-        meadowlug::net::serve(listener, Rc::new(ImmediateFront), limits, phases).await;
+        let memory = Memory::new(MemoryLimits { read_ahead_bytes: 8 << 10, ..MemoryLimits::UNLIMITED });
+        meadowlug::net::serve(listener, Rc::new(ImmediateFront), limits, memory, phases).await;
         // No other process serves the socket in this test: the connections left in its backlog are reset with
         // the socket.
         drop(shared_socket);
@@ -503,7 +505,7 @@
             connections: IDLE_CONNECTIONS,
             extra_connections: IDLE_CONNECTIONS,
             buffer_bytes: 8 << 10,
-            read_ahead_bytes: 64 << 10,
+            connection_bytes: 0,
             stall_timeout: long_timeout,
             head_timeout: long_timeout,
             idle_timeout: long_timeout,
@@ -511,7 +513,8 @@
         };
         let front = Rc::new(SlowFront::default());
         let (_phase, phases) = watch::channel(Phase::Serving);
-        spawn_local(meadowlug::net::serve(listener, front.clone(), limits, phases));
+        let memory = Memory::new(MemoryLimits { read_ahead_bytes: 64 << 10, ..MemoryLimits::UNLIMITED });
+        spawn_local(meadowlug::net::serve(listener, front.clone(), limits, memory, phases));
         let mut clients = Vec::new();
         for n in 0..IDLE_CONNECTIONS {
             let mut stream = TcpStream::connect(address).await.expect("the gateway accepts connections");
