Write requests and responses from their pieces, not from a buffer that stays

What callers saw: embeddings clients that keep their connection get the gateway killed.

Cause: neither stream offered vectored writes, so hyper copied each body into the write buffer of its connection, which never shrinks. The answer itself was held as well.

Change: both streams write vectored, so that a body is shared until it is written. The meter that proves that a request never ran counts over the pieces.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -11,7 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::poll_fn;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -332,6 +332,20 @@
         transport::poll_write(&self.0.stream, context, bytes)
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        transport::poll_write_vectored(&self.0.stream, context, slices)
+    }
+
+    /// Returns true so that hyper queues the pieces of a response instead of copying them to a write buffer,
+    /// which would keep the size of the largest response until the connection closes.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::SendGuard;
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -70,6 +70,19 @@
         }
     }
 
+    /// Counts the first `written` bytes of the slices.
+    fn count_slices(&self, slices: &[IoSlice<'_>], written: usize) {
+        let mut remaining = written;
+        for slice in slices {
+            if remaining == 0 {
+                return;
+            }
+            let count = remaining.min(slice.len());
+            self.count(&slice[..count]);
+            remaining -= count;
+        }
+    }
+
     /// Returns true if the last byte of the request was written: from then on the request may run.
     pub(super) fn is_complete(&self) -> bool {
         self.head_len.get().is_some_and(|head_len| self.written.get() >= head_len + self.body_len.get())
@@ -135,6 +148,21 @@
     }
 }
 
+/// Writes several slices to a shared socket.
+pub(super) fn poll_write_vectored(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    slices: &[IoSlice<'_>],
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(context))?;
+        match stream.try_write_vectored(slices) {
+            Err(error) if must_retry(&error) => {}
+            result => return Poll::Ready(result),
+        }
+    }
+}
+
 /// Shuts down the sending side of a shared socket.
 pub(super) fn end_writing(stream: &TcpStream) -> io::Result<()> {
     socket2::SockRef::from(stream).shutdown(Shutdown::Write)
@@ -157,6 +185,22 @@
         Poll::Ready(Ok(written))
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(poll_write_vectored(&self.stream, context, slices))?;
+        self.meter.count_slices(slices, written);
+        Poll::Ready(Ok(written))
+    }
+
+    /// Returns true so that hyper does not copy a request body to its write buffer, which would keep the size
+    /// of the largest body until the connection closes.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -62,6 +62,23 @@
     request_text("/v1/chat/completions", &headers, &body)
 }
 
+fn embeddings_request() -> String {
+    request_text("/v1/embeddings", "", &json!({"model": "embedder", "input": "text"}).to_string())
+}
+
+/// Reads one response with a content length and returns its status.
+async fn read_response_status(stream: &mut TcpStream) -> Option<u16> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?.to_ascii_lowercase();
+    let (_, length) = head.split_once("content-length: ")?;
+    let mut body = vec![0; length.split("\r\n").next()?.parse().ok()?];
+    stream.read_exact(&mut body).await.ok()?;
+    head.split(' ').nth(1)?.parse().ok()
+}
+
 /// Sends the text on a connection of its own and then reads at full speed; the task ends when the gateway
 /// closes the connection.
 async fn start_reading_client(gateway: &GatewayProcess, text: String) -> JoinHandle<usize> {
@@ -135,6 +152,63 @@
     .await;
 }
 
+// The write buffer of each client connection kept the size of the largest answer that was ever written on it.
+#[rstest]
+#[tokio::test]
+async fn connections_that_have_carried_large_answers_stay_within_the_memory_limit(
+    #[values((32, 1 << 20), (64, 2 << 20), (192, 3 << 20))] (memory_mb, answer_bytes): (u64, usize),
+) {
+    run_local(async {
+        let answer = EngineResponse::json("200 OK", &embedding_text(answer_bytes));
+        let mut gateway = start_gateway(memory_mb, usual_stream(), answer).await;
+        let clients: Vec<_> = {
+            let mut clients = Vec::new();
+            for _ in 0..100 {
+                clients.push(start_reading_client(&gateway, embeddings_request()).await);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            clients
+        };
+        tokio::time::sleep(HOLD_TIME).await;
+        gateway.assert_within_memory_limit();
+        drop(clients);
+    })
+    .await;
+}
+
+// The size of one answer was limited, but not the sum of the answers that were being read or written.
+#[rstest]
+#[tokio::test]
+async fn large_answers_at_the_same_time_stay_within_the_memory_limit(
+    #[values((32, 1 << 20), (192, 3 << 20))] (memory_mb, answer_bytes): (u64, usize),
+    #[values(true, false)] clients_read: bool,
+) {
+    run_local(async {
+        let answer = EngineResponse {
+            delay: Duration::from_millis(300),
+            ..EngineResponse::json("200 OK", &embedding_text(answer_bytes))
+        };
+        let mut gateway = start_gateway(memory_mb, usual_stream(), answer).await;
+        let (mut reading, mut silent) = (Vec::new(), Vec::new());
+        for _ in 0..150 {
+            if clients_read {
+                let mut stream = TcpStream::connect(gateway.address).await.expect("the gateway listens");
+                stream.write_all(embeddings_request().as_bytes()).await.expect("the request is written");
+                reading.push(spawn_local(async move { read_response_status(&mut stream).await }));
+            } else {
+                silent.push(send_without_reading(&gateway, &embeddings_request()).await);
+            }
+        }
+        for client in reading {
+            assert_eq!(client.await.expect("the client ends"), Some(200), "the whole answer arrives");
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_usual_requests_are_served(&gateway).await;
+        gateway.assert_within_memory_limit();
+    })
+    .await;
+}
+
 // Each small piece of an answer held the buffer into which it was read until the answer was complete.
 #[rstest]
 #[tokio::test]
@@ -152,6 +226,28 @@
     .await;
 }
 
+// The write buffer of each engine connection kept the size of the largest request that was ever sent on it.
+#[rstest]
+#[tokio::test]
+async fn large_requests_at_the_same_time_stay_within_the_memory_limit(#[values(32, 192)] memory_mb: u64) {
+    run_local(async {
+        let slow_stream = EngineResponse { delay: Duration::from_millis(400), ..usual_stream() };
+        let mut gateway = start_gateway(memory_mb, slow_stream, small_embedding()).await;
+        let mut clients = Vec::new();
+        for round in 0..3 {
+            for n in 0..CONNECTIONS {
+                let text = chat_request(&format!("a{round}-{n}"), "lookup", 250_000);
+                clients.push(start_reading_client(&gateway, text).await);
+            }
+            tokio::time::sleep(HOLD_TIME).await;
+            clients.drain(..).for_each(|client| client.abort());
+        }
+        assert_usual_requests_are_served(&gateway).await;
+        gateway.assert_within_memory_limit();
+    })
+    .await;
+}
+
 // Streams that wait for their clients, with events of the maximum size.
 #[rstest]
 #[tokio::test]
@@ -205,3 +301,63 @@
     })
     .await;
 }
+
+// All of these at the same time.
+#[rstest]
+#[tokio::test]
+async fn greedy_clients_of_all_kinds_at_the_same_time_stay_within_the_memory_limit(
+    #[values((32, 1 << 20), (64, 2 << 20), (192, 3 << 20))] (memory_mb, answer_bytes): (u64, usize),
+) {
+    run_local(async {
+        let event = format!("data: {}\n\n", json!({"a": "x".repeat(20_000)}));
+        let stream = EngineResponse::chunks("text/event-stream", vec![event.as_str(); 15]);
+        let answer = EngineResponse::json("200 OK", &embedding_text(answer_bytes));
+        let mut gateway = start_gateway(memory_mb, stream, answer).await;
+        let requests_at_once = pipelined_requests("bodies");
+        let (mut reading, mut silent) = (Vec::new(), Vec::new());
+        for n in 0..90 {
+            reading.push(start_reading_client(&gateway, requests_at_once.clone()).await);
+            reading.push(start_reading_client(&gateway, embeddings_request()).await);
+            let large_request = chat_request(&format!("l{n}"), "lookup", 250_000);
+            reading.push(start_reading_client(&gateway, large_request).await);
+            silent.push(send_without_reading(&gateway, &embeddings_request()).await);
+            silent.push(send_without_reading(&gateway, &chat_request(&format!("s{n}"), "lookup", 10)).await);
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        gateway.assert_within_memory_limit();
+    })
+    .await;
+}
+
+// One kind of greedy client after the other: what one kind has freed must serve the next.
+#[rstest]
+#[tokio::test]
+async fn greedy_clients_of_one_kind_after_the_other_stay_within_the_memory_limit(
+    #[values((32, 1 << 20), (192, 3 << 20))] (memory_mb, answer_bytes): (u64, usize),
+) {
+    run_local(async {
+        let answer = EngineResponse::json("200 OK", &embedding_text(answer_bytes));
+        let mut gateway = start_gateway(memory_mb, usual_stream(), answer).await;
+        let large_head = format!("X: {}\r\n", "y".repeat(7_000));
+        let texts = [
+            chat_request("large", "lookup", 250_000),
+            embeddings_request(),
+            pipelined_requests("bodies"),
+            request_text("/v1/chat/completions", &large_head, "{}"),
+            chat_request("middle", "lookup", 30_000),
+        ];
+        for text in texts.iter().cycle().take(2 * texts.len()) {
+            let mut clients = Vec::new();
+            for n in 0..150 {
+                let text = text.replacen("Req-Id: ", &format!("Req-Id: n{n}-"), 1);
+                clients.push(start_reading_client(&gateway, text).await);
+            }
+            tokio::time::sleep(HOLD_TIME).await;
+            clients.into_iter().for_each(|client| client.abort());
+        }
+        assert_usual_requests_are_served(&gateway).await;
+        gateway.assert_within_memory_limit();
+    })
+    .await;
+}
