Count the entries of answers and calls without building them

One answer of 3.8 MB with many small numbers took 65 MB of memory to count its entries, a call of 250 KB with many short inputs up to 18 MB at a limit of 32 MB.

Cause: answers were decoded to a general JSON value, calls through an untagged enumeration, which stores each element in a general form first.

Evidence: peaks of 71 MB at 192 and 26 MB at 32 for one answer, 24 MB at 32 for 20 calls (tests/memory, reviewed code).

Change: visitors count the entries, inputs and tokens as they are read.

--- a/src/front/inference.rs
+++ b/src/front/inference.rs
@@ -1,6 +1,7 @@
 //! Embeddings and rerank APIs in their usual formats. They use the core of chat, with one driver per model.
 
-use super::intake::{BYTES_PER_TOKEN, BodyReader, ReceivedRequest, header_text, parse_duration};
+use super::inference_call::{parse_embeddings, parse_rerank};
+use super::intake::{BodyReader, ReceivedRequest, header_text, parse_duration};
 use super::reply;
 use crate::config::Api;
 use crate::gateway::{Answer, Gateway, Key, Submission};
@@ -9,7 +10,6 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use serde::Deserialize;
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -42,92 +42,6 @@
     call_count: Cell<u64>,
 }
 
-/// The fields of an embeddings call that the gateway reads.
-#[derive(Deserialize)]
-struct Embeddings {
-    model: String,
-    input: Input,
-}
-
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum Input {
-    Text(String),
-    Texts(Vec<String>),
-    Tokens(Vec<u32>),
-    TokenLists(Vec<Vec<u32>>),
-}
-
-/// The fields of a rerank call that the gateway reads.
-#[derive(Deserialize)]
-struct Rerank {
-    model: String,
-    query: String,
-    documents: Vec<Document>,
-    #[serde(default)]
-    top_n: Option<usize>,
-}
-
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum Document {
-    Text(String),
-    Object { text: String },
-}
-
-/// Model, number of inputs, number of tokens, and number of entries in a complete answer of a call.
-#[derive(Debug, PartialEq)]
-struct CallSummary {
-    model: String,
-    inputs: usize,
-    tokens: usize,
-    entries: usize,
-}
-
-fn estimate_tokens(bytes: usize) -> usize {
-    bytes.div_ceil(BYTES_PER_TOKEN)
-}
-
-fn parse_embeddings(body: &[u8]) -> Result<CallSummary, String> {
-    let call: Embeddings = serde_json::from_slice(body).map_err(|_| "the body is no embeddings call")?;
-    let (inputs, token_count, empty) = match &call.input {
-        Input::Text(text) => (1, estimate_tokens(text.len()), text.is_empty()),
-        Input::Texts(texts) => (
-            texts.len(),
-            texts.iter().map(|t| estimate_tokens(t.len())).sum(),
-            texts.iter().any(String::is_empty),
-        ),
-        Input::Tokens(list) => (1, list.len(), list.is_empty()),
-        Input::TokenLists(lists) => {
-            (lists.len(), lists.iter().map(Vec::len).sum(), lists.iter().any(Vec::is_empty))
-        }
-    };
-    if inputs == 0 || empty {
-        return Err("input: empty".into());
-    }
-    Ok(CallSummary { model: call.model, inputs, tokens: token_count, entries: inputs })
-}
-
-fn parse_rerank(body: &[u8]) -> Result<CallSummary, String> {
-    let call: Rerank = serde_json::from_slice(body).map_err(|_| "the body is no rerank call")?;
-    if call.query.is_empty() || call.documents.is_empty() {
-        return Err("query or documents: empty".into());
-    }
-    if call.top_n == Some(0) {
-        return Err("top_n: below 1".into());
-    }
-    let document_tokens = |document: &Document| match document {
-        Document::Text(text) | Document::Object { text } => estimate_tokens(call.query.len() + text.len()),
-    };
-    let inputs = call.documents.len();
-    Ok(CallSummary {
-        tokens: call.documents.iter().map(document_tokens).sum(),
-        entries: call.top_n.map_or(inputs, |top| top.min(inputs)),
-        inputs,
-        model: call.model,
-    })
-}
-
 /// Parses the idempotency key of a call. The key is combined with the client's credentials, because different
 /// clients may choose equal keys.
 fn parse_key(headers: &HeaderMap, api: Api, body: &[u8]) -> Result<Option<Key>, String> {
@@ -230,38 +144,3 @@
         RequestId(Arc::from(format!("{:016x}-{call:08x}", self.instance_id)))
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use rstest::rstest;
-
-    // A call that no engine could answer is rejected before it is sent to an engine.
-    #[rstest]
-    #[case(r#"{"model":"m","input":"four characters"}"#, Some((1, 4, 1)))]
-    #[case(r#"{"model":"m","input":["a","b"],"dimensions":8}"#, Some((2, 2, 2)))]
-    #[case(r#"{"model":"m","input":[1,2,3]}"#, Some((1, 3, 1)))]
-    #[case(r#"{"model":"m","input":[[1],[2,3]]}"#, Some((2, 3, 2)))]
-    #[case(r#"{"model":"m","input":[]}"#, None)]
-    #[case(r#"{"model":"m","input":["a",""]}"#, None)]
-    #[case(r#"{"model":"m","input":7}"#, None)]
-    #[case(r#"{"input":"a"}"#, None)]
-    #[case("[]", None)]
-    fn embeddings_call_is_parsed(#[case] body: &str, #[case] expected: Option<(usize, usize, usize)>) {
-        let summary = parse_embeddings(body.as_bytes()).ok().map(|a| (a.inputs, a.tokens, a.entries));
-        assert_eq!(summary, expected);
-    }
-
-    #[rstest]
-    #[case(r#"{"model":"m","query":"ab","documents":["cd","ef"]}"#, Some((2, 2, 2)))]
-    #[case(r#"{"model":"m","query":"ab","documents":[{"text":"cd"}],"top_n":9}"#, Some((1, 1, 1)))]
-    #[case(r#"{"model":"m","query":"q","documents":["a","b","c"],"top_n":2}"#, Some((3, 3, 2)))]
-    #[case(r#"{"model":"m","query":"q","documents":["a"],"top_n":0}"#, None)]
-    #[case(r#"{"model":"m","query":"q","documents":[]}"#, None)]
-    #[case(r#"{"model":"m","query":"","documents":["a"]}"#, None)]
-    #[case(r#"{"model":"m","documents":["a"]}"#, None)]
-    fn rerank_call_is_parsed(#[case] body: &str, #[case] expected: Option<(usize, usize, usize)>) {
-        let summary = parse_rerank(body.as_bytes()).ok().map(|a| (a.inputs, a.tokens, a.entries));
-        assert_eq!(summary, expected);
-    }
-}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! Protocol front ends, which convert client requests to submissions and the core's answers to responses.
 
 mod inference;
+mod inference_call;
 mod intake;
 mod management;
 mod platform;
--- a/src/net/answer.rs
+++ b/src/net/answer.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use serde::de::{Deserializer, IgnoredAny, MapAccess, Visitor};
 use std::fmt;
 
 /// Initial capacity of the buffer for a body of unknown length, in bytes.
@@ -77,3 +78,57 @@
     }
     Ok(buffer.finish())
 }
+
+/// Counts the entries of a list in a JSON object without building the object, which would take a multiple of
+/// the memory of its text.
+struct EntryCounter<'a> {
+    list: &'a str,
+}
+
+impl<'de> Visitor<'de> for EntryCounter<'_> {
+    type Value = Option<usize>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "an object with the list {}", self.list)
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
+        let mut entries = None;
+        while let Some(key) = map.next_key::<std::borrow::Cow<'de, str>>()? {
+            if key == self.list {
+                entries = Some(map.next_value::<Vec<IgnoredAny>>()?.len());
+            } else {
+                map.next_value::<IgnoredAny>()?;
+            }
+        }
+        Ok(entries)
+    }
+}
+
+/// Returns the number of entries of a list in a complete JSON object; `None` if the text is no such object.
+pub(super) fn count_entries(text: &[u8], list: &str) -> Option<usize> {
+    let mut deserializer = serde_json::Deserializer::from_slice(text);
+    let entries = deserializer.deserialize_map(EntryCounter { list }).ok()?;
+    deserializer.end().ok()?;
+    entries
+}
+
+#[cfg(test)]
+mod tests {
+    use super::count_entries;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::list(r#"{"object":"list","data":[{"a":[1,2]},[],"x",4],"usage":{"data":[1]}}"#, Some(4))]
+    #[case::empty_list(r#" {"data":[]} "#, Some(0))]
+    #[case::escaped_name(r#"{"d\u0061ta":[1]}"#, Some(1))]
+    #[case::no_list(r#"{"data":{"a":1}}"#, None)]
+    #[case::other_name(r#"{"results":[1]}"#, None)]
+    #[case::no_object("[1,2]", None)]
+    #[case::cut_short(r#"{"data":[1,2]"#, None)]
+    #[case::more_behind_it(r#"{"data":[1]}{"#, None)]
+    #[case::empty("", None)]
+    fn entries_of_the_list_are_counted(#[case] text: &str, #[case] expected: Option<usize>) {
+        assert_eq!(count_entries(text.as_bytes(), "data"), expected);
+    }
+}
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -1,6 +1,6 @@
 //! Engines over HTTP/1.1: attempts, their responses, and releases.
 
-use super::answer::read_body;
+use super::answer::{count_entries, read_body};
 use super::events::{Events, MAX_EVENT_BYTES};
 use super::pool::{Channel, Pool};
 use super::transport::WriteWatch;
@@ -134,9 +134,7 @@
         (Processing::SingleStep { list, entries }, StatusCode::OK) => {
             // A body without a length ends when its connection
             // closes, so only its content shows that it is complete.
-            let json: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-            let complete =
-                json.get(list).and_then(|list| list.as_array()).is_some_and(|l| l.len() == entries);
+            let complete = count_entries(&body, list) == Some(entries);
             if complete { Reply::Complete(body) } else { Reply::Error }
         }
         (Processing::SingleStep { .. }, status) if is_request_error(status) => Reply::InvalidRequest(body),
--- a/tests/memory/gateway.rs
+++ b/tests/memory/gateway.rs
@@ -11,6 +11,8 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(2);
 /// Size of a memory page in bytes.
 const PAGE_BYTES: u64 = 4096;
+/// Part of the memory limit that is not for connections, requests and answers, in megabytes (README, "Bounds").
+const BASE_MEMORY_MB: u64 = 12;
 /// Number of file descriptors that the gateway may hold: the most that a deployment grants.
 const SOCKETS: usize = 1024;
 
@@ -94,8 +96,16 @@
         resident_bytes(self.child.id()).unwrap_or(0) >> 20
     }
 
+    /// Fails the test if the memory has grown by more than the given part of what the limit leaves for
+    /// connections, requests and answers.
+    pub fn assert_grown_by_at_most(&self, idle_mb: f64, divisor: u64) {
+        let allowed_mb = (self.memory_mb - BASE_MEMORY_MB) as f64 / divisor as f64;
+        let grown_mb = self.peak_mb() - idle_mb;
+        assert!(grown_mb <= allowed_mb, "grown by {grown_mb:.1} MB, allowed {allowed_mb:.1} MB");
+    }
+
     /// Returns the largest resident memory so far, in megabytes.
-    fn peak_mb(&self) -> f64 {
+    pub fn peak_mb(&self) -> f64 {
         self.peak_bytes.load(Ordering::SeqCst) as f64 / f64::from(1 << 20)
     }
 
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -21,6 +21,10 @@
 /// Time that clients keep their connections and the gateway is watched.
 const HOLD_TIME: Duration = Duration::from_millis(600);
 
+/// Divisor of the part of the memory that bounds all answers of engines together (README, "Bounds").
+const ANSWERS_DIVISOR: u64 = 8;
+/// Divisor of the part that bounds the bodies being read and those of open calls: 1/8 and 1/10 of the memory.
+const BODIES_DIVISOR: u64 = 4;
 /// Number of engines of each kind.
 const ENGINES: usize = 6;
 
@@ -226,6 +230,47 @@
     .await;
 }
 
+// An answer was decoded as a whole to count its entries, which took a multiple of its size.
+#[rstest]
+#[tokio::test]
+async fn answer_of_many_small_numbers_stays_within_the_memory_limit(
+    #[values((32, 600_000), (192, 1_900_000))] (memory_mb, numbers): (u64, usize),
+) {
+    run_local(async {
+        let list = vec!["0"; numbers].join(",");
+        let answer = EngineResponse::json("200 OK", &format!(r#"{{"data":[[{list}]]}}"#));
+        let mut gateway = start_gateway(memory_mb, usual_stream(), answer).await;
+        let idle_mb = gateway.peak_mb();
+        let body = json!({"model": "embedder", "input": "text"}).to_string();
+        let answer = send_request(gateway.address, "POST", "/v1/embeddings", &[], &body).await;
+        gateway.assert_within_memory_limit();
+        gateway.assert_grown_by_at_most(idle_mb, ANSWERS_DIVISOR);
+        assert_eq!(answer.status, 200);
+    })
+    .await;
+}
+
+// The inputs of a call were stored in a general form, which took a multiple of the call's size.
+#[rstest]
+#[tokio::test]
+async fn call_of_many_small_inputs_stays_within_the_memory_limit(#[values("[1]", "1", "\"a\"")] input: &str) {
+    run_local(async {
+        let mut gateway = start_gateway(32, usual_stream(), small_embedding()).await;
+        let idle_mb = gateway.peak_mb();
+        let inputs = vec![input; 250_000 / (input.len() + 1)].join(",");
+        let text =
+            request_text("/v1/embeddings", "", &format!(r#"{{"model":"embedder","input":[{inputs}]}}"#));
+        let mut clients = Vec::new();
+        for _ in 0..20 {
+            clients.push(start_reading_client(&gateway, text.clone()).await);
+        }
+        tokio::time::sleep(HOLD_TIME).await;
+        gateway.assert_within_memory_limit();
+        gateway.assert_grown_by_at_most(idle_mb, BODIES_DIVISOR);
+    })
+    .await;
+}
+
 // The write buffer of each engine connection kept the size of the largest request that was ever sent on it.
 #[rstest]
 #[tokio::test]
