End no answer of a slow engine at a stop, and wait nearly 5 s for its next event

Without a stop an engine with an event every 4.5 s lost its answers too.

Cause: ShutdownSchedule::due took an engine for hanging after 1 s without an event, max_engine_silence after 4 s. The protocol has a running engine pause for up to 5 s.

Ruled out: a lost connection or an error of the engine (its next event found its connection closed by the gateway), hand-over (off where clients do not ask for the rest), an engine that leaves the list (its answers were whole before).

Change: without a hand-over the stop ends no streamed answer; an engine counts as hanging 4.85 s after its last event, to the millisecond; after a time in which nobody looked for events, 10 ms pass before it is judged, since what has arrived needs a turn to be received.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,8 +19,7 @@
     Broken(AttemptError),
     /// The client disconnected.
     ClientGone,
-    /// The gateway shuts down, and either the client resumes the answer at another gateway or the engine
-    /// hangs.
+    /// The gateway shuts down, and the client resumes the answer at another gateway.
     HandedOff,
 }
 
@@ -34,33 +33,31 @@
     pub answer_deadline: Instant,
     /// Start time and duration of the period in which streamed answers are handed off, where clients resume
     /// them at another gateway. The oldest answers are ended first: most answers are short, so those that
-    /// began last are the likeliest to end by themselves. If `None`, only answers whose engine hangs are
-    /// ended, at `answer_deadline`.
+    /// began last are the likeliest to end by themselves. If `None`, the shutdown ends no streamed answer: a
+    /// slow engine cannot be told from one that hangs, and its client would lose the rest.
     pub hand_off: Option<(Instant, Duration)>,
 }
 
 /// Age from which an answer is handed off at the start of the period. A younger answer gets a share of the
 /// period in which to end by itself.
 const OLD_ANSWER_AGE: Duration = Duration::from_secs(10);
-/// Time without an event after which an engine counts as hanging, and its answer is ended by the shutdown
-/// where clients cannot resume it. Events usually arrive several times a second, and an answer with events
-/// arriving must not be cut.
-const ENGINE_STALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval at which an answer is checked while no event arrives. An engine that hangs sends no event, so
-/// without this check its answer would stay open until the process is killed.
+/// Maximum interval at which an answer is checked while no event arrives. An engine that hangs sends no event,
+/// so without this check its answer would stay open until the process is killed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two polls after which it is unknown how long the engine has been silent: the client did not
+/// read, or the process was held up.
+const MAX_POLL_GAP: Duration = Duration::from_millis(120);
+/// Time after such a gap in which events that have arrived meanwhile can be received.
+const RECEIVE_TIME: Duration = Duration::from_millis(10);
 /// Maximum number of bytes read from an answer that is due to be handed off, to find out if its engine has
 /// finished.
 const MAX_REMAINDER_BYTES: usize = 64 << 10;
 
 impl ShutdownSchedule {
-    /// Returns the time at which an answer is to be ended, given when it began and when its last event
-    /// arrived. `None` if the gateway waits for the answer to end by itself.
-    fn due(&self, started_at: Instant, last_event_at: Instant) -> Option<Instant> {
-        let Some((start, duration)) = self.hand_off else {
-            return (last_event_at + ENGINE_STALL_TIMEOUT <= self.answer_deadline)
-                .then_some(self.answer_deadline);
-        };
+    /// Returns the time at which an answer is to be handed off, given when it began. `None` if the gateway
+    /// waits for the answer to end by itself.
+    fn due(&self, started_at: Instant) -> Option<Instant> {
+        let (start, duration) = self.hand_off?;
         let age = start.saturating_duration_since(started_at);
         Some(start + duration.mul_f64(1.0 - (age.as_secs_f64() / OLD_ANSWER_AGE.as_secs_f64()).min(1.0)))
     }
@@ -78,7 +75,9 @@
     max_silence: Duration,
     idle_check: Pin<Box<Sleep>>,
     started_at: Instant,
-    last_event_at: Instant,
+    /// Time at which the engine counts as hanging if no event arrives until then.
+    silence_end: Instant,
+    last_polled_at: Instant,
     shutdown: ShutdownState,
     on_end: Option<EndCallback>,
 }
@@ -99,12 +98,22 @@
             max_silence,
             idle_check,
             started_at,
-            last_event_at: started_at,
+            silence_end: started_at + max_silence,
+            last_polled_at: started_at,
             shutdown,
             on_end,
         }
     }
 
+    /// Extends the silence that is allowed if events may have arrived that could not be received yet. Called
+    /// at each poll.
+    fn allow_for_poll_gap(&mut self, now: Instant) {
+        let poll_gap = now - std::mem::replace(&mut self.last_polled_at, now);
+        if poll_gap > MAX_POLL_GAP {
+            self.silence_end = self.silence_end.max(now + RECEIVE_TIME);
+        }
+    }
+
     fn finish(&mut self, end: RelayEnd) {
         self.events = None;
         if let Some(on_end) = self.on_end.take() {
@@ -120,12 +129,6 @@
         ))))
     }
 
-    /// Returns true if the client resumes the answer at another gateway. Only such an answer is cut while
-    /// events arrive.
-    fn can_hand_off(&self) -> bool {
-        self.shutdown.get().is_some_and(|schedule| schedule.hand_off.is_some())
-    }
-
     /// Ends an answer that is due to be handed off. If the engine has already finished and only the client
     /// reads slowly, passes on the rest of the answer at once; otherwise hands the answer off.
     fn finish_or_hand_off(
@@ -155,17 +158,17 @@
             return Poll::Ready(Some(Ok(first_chunk)));
         }
         loop {
-            let Some(events) = &mut self.events else { return Poll::Ready(None) };
             let now = Instant::now();
-            let due =
-                self.shutdown.get().and_then(|schedule| schedule.due(self.started_at, self.last_event_at));
+            self.allow_for_poll_gap(now);
+            let Some(events) = &mut self.events else { return Poll::Ready(None) };
+            let due = self.shutdown.get().and_then(|schedule| schedule.due(self.started_at));
             match events.poll_event(context) {
                 Poll::Pending if due.is_some_and(|due| due <= now) => return self.hand_off(),
-                Poll::Ready(Some(Ok(chunk))) if due.is_some_and(|due| due <= now) && self.can_hand_off() => {
+                Poll::Ready(Some(Ok(chunk))) if due.is_some_and(|due| due <= now) => {
                     return self.finish_or_hand_off(&chunk, context);
                 }
                 Poll::Ready(Some(Ok(chunk))) => {
-                    self.last_event_at = now;
+                    self.silence_end = now + self.max_silence;
                     self.idle_check.as_mut().reset(now + IDLE_CHECK_INTERVAL);
                     return Poll::Ready(Some(Ok(chunk)));
                 }
@@ -177,7 +180,7 @@
                     self.finish(RelayEnd::Complete);
                     return Poll::Ready(None);
                 }
-                Poll::Pending if self.last_event_at + self.max_silence <= now => {
+                Poll::Pending if self.silence_end <= now => {
                     let error =
                         AttemptError::new(Progress::TimedOut, "the engine stopped sending within its answer");
                     self.finish(RelayEnd::Broken(error.clone()));
@@ -186,7 +189,7 @@
                 Poll::Pending => {}
             }
             ready!(self.idle_check.as_mut().poll(context));
-            self.idle_check.as_mut().reset(now + IDLE_CHECK_INTERVAL);
+            self.idle_check.as_mut().reset((now + IDLE_CHECK_INTERVAL).min(self.silence_end));
         }
     }
 }
--- a/src/gateway/tuning.rs
+++ b/src/gateway/tuning.rs
@@ -4,6 +4,12 @@
 use crate::interface::Micros;
 use std::time::Duration;
 
+/// Time without an event until which the protocol takes an engine for a running one. A client must not be
+/// left waiting for longer.
+const ENGINE_HANG_TIME: Duration = Duration::from_secs(5);
+/// Part of that time that remains for the end of an answer to reach its client.
+const HANG_END_MARGIN: Duration = Duration::from_millis(150);
+
 /// Limits, timeouts and intervals of the core.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
@@ -39,7 +45,7 @@
                 answer_retention: Duration::from_secs(60),
                 max_retained_bytes: 8 << 20,
             },
-            max_engine_silence: Duration::from_secs(4),
+            max_engine_silence: ENGINE_HANG_TIME - HANG_END_MARGIN,
             release_timeout: Duration::from_millis(100),
             max_release_wait: Duration::from_millis(250),
             probe_timeout: Duration::from_millis(250),
