Charge only incomplete events of a stream, not many small ones that arrive at once

What callers would have seen: while slow readers of embeddings answers hold the memory set aside for answers, a chat stream whose engine sends many small events in one chunk was broken off.

Cause: HttpEvents::charge took the size of what could be passed on for the size of one event, and gave the stream up without memory for it, although these bytes are in use already.

Change: only an incomplete event beyond twice the buffer of a connection is charged, and a stream is given up for it alone; the reservation of an open request covers the events that wait for the client.

--- a/src/config/bounds.rs
+++ b/src/config/bounds.rs
@@ -18,6 +18,9 @@
 const CONNECTION_STATE_BYTES: usize = 8 << 10;
 /// Memory of an open request besides its body and what is buffered of its stream.
 const REQUEST_STATE_BYTES: usize = 4 << 10;
+/// What is buffered of a stream, as a multiple of the bytes buffered for a connection: two for an incomplete event,
+/// and up to four for the events that wait for the client.
+const STREAM_BUFFERS: usize = 6;
 
 /// Limits on the resources of the process.
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -90,7 +93,7 @@
             engine_connections,
             connection_buffer_bytes,
             connection_bytes,
-            request_bytes: REQUEST_STATE_BYTES + 4 * connection_buffer_bytes,
+            request_bytes: REQUEST_STATE_BYTES + STREAM_BUFFERS * connection_buffer_bytes,
             memory,
             requests: client_connections,
             open_chat_bytes: (bytes / 4).max(MAX_BODY_BYTES),
--- a/src/net/engines.rs
+++ b/src/net/engines.rs
@@ -237,7 +237,7 @@
     /// The rest of the body, until its end.
     body: Option<Incoming>,
     events: Events,
-    /// The memory of an event that is larger than what the reservation of the request covers.
+    /// The memory of an incomplete event that is larger than what the reservation of the request covers.
     event_memory: Option<Reservation>,
     /// The connection, until the response has ended.
     connection: Option<(Rc<Pool>, Arc<str>, Channel)>,
@@ -250,33 +250,21 @@
         AttemptError::new(Progress::FullyWritten, cause)
     }
 
-    /// Reserves memory while an event is large, and binds it to the event once that is complete. Events are
-    /// not delayed until memory is left, because all streams with a large event could wait for each other.
+    /// Reserves memory while an incomplete event is large, and binds it to the event once that is complete.
+    /// The stream does not wait until memory is left, because all streams with a large event could wait for
+    /// each other. Events that are complete are passed on in any case: their memory is in use already.
     fn charge(&mut self, ready: Option<Bytes>) -> Result<Option<Bytes>, &'static str> {
         let Some((pool, _, _)) = &self.connection else { return Ok(ready) };
-        let covered_bytes = pool.buffer_bytes();
-        let is_large = |bytes: usize| bytes > covered_bytes;
-        let ready_is_large = ready.as_ref().is_some_and(|ready| is_large(ready.len()));
-        let pending_is_large = is_large(self.events.pending_bytes());
-        let reserve = || {
-            pool.memory()
-                .try_reserve(MemoryUse::Answer, LARGE_EVENT_MEMORY)
-                .ok_or("no memory for a large event")
-        };
-        if self.event_memory.is_none() && (ready_is_large || pending_is_large) {
-            self.event_memory = Some(reserve()?);
+        let covered_bytes = 2 * pool.buffer_bytes();
+        let ready_memory = if ready.is_some() { self.event_memory.take() } else { None };
+        if self.events.pending_bytes() > covered_bytes && self.event_memory.is_none() {
+            let reservation = pool.memory().try_reserve(MemoryUse::Answer, LARGE_EVENT_MEMORY);
+            self.event_memory = Some(reservation.ok_or("no memory for a large event")?);
         }
-        if !ready_is_large {
-            if !pending_is_large {
-                self.event_memory = None;
-            }
-            return Ok(ready);
-        }
-        let ready_memory = self.event_memory.take();
-        if pending_is_large {
-            self.event_memory = Some(reserve()?);
-        }
-        Ok(ready.zip(ready_memory).map(|(ready, memory)| memory.bind_to(ready)))
+        Ok(match (ready, ready_memory) {
+            (Some(ready), Some(memory)) => Some(memory.bind_to(ready)),
+            (ready, _) => ready,
+        })
     }
 }
 
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -317,6 +317,35 @@
     .await;
 }
 
+// While answers held all memory that was set aside for them, streams whose engines sent many small events in one chunk were
+// taken for streams of large events and broken off.
+#[rstest]
+#[tokio::test]
+async fn streams_of_small_events_are_whole_while_answers_hold_their_memory(
+    #[values((32, 2), (192, 6))] (memory_mb, answers): (u64, u64),
+) {
+    run_local(async {
+        let events_at_once = EVENTS[0].repeat(8_000);
+        let stream = EngineResponse::chunks("text/event-stream", vec![events_at_once.as_str(); 3]);
+        let limit_bytes = (memory_mb - 12) * (1 << 20) / ANSWERS_DIVISOR;
+        let answer_bytes = limit_bytes / answers - 200;
+        let answer = EngineResponse::json("200 OK", &embedding_text(answer_bytes as usize));
+        let mut gateway = start_gateway(memory_mb, stream, answer).await;
+        let mut silent = Vec::new();
+        for _ in 0..20 {
+            silent.push(send_without_reading(&gateway, &embeddings_request()).await);
+        }
+        let is_exhausted = async || gateway.reserved_bytes("answer").await >= limit_bytes - 2 * 200 * answers;
+        wait_until("answers hold the memory that is set aside for them", is_exhausted).await;
+        for n in 0..12 {
+            let answer = chat(gateway.address, &format!("a{n}"), "lookup", 9000).await;
+            assert!(answer.status == 200 && answer.complete, "stream {n} ended early");
+        }
+        gateway.assert_within_memory_limit();
+    })
+    .await;
+}
+
 // Heads of the maximum size, on connections that are kept.
 #[rstest]
 #[tokio::test]
