Test streams with events of the maximum size again

streams_of_large_events_to_clients_that_do_not_read_stay_within_the_memory_limit was written with events of 60 KB.

The size is 60 KB again; nothing else changes. A comment is wrapped.

--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -301,7 +301,7 @@
     #[values("events", "comments")] form: &str,
 ) {
     run_local(async {
-        let event = format!("data: {}\n\n", json!({"a": "x".repeat(8_000)}));
+        let event = format!("data: {}\n\n", json!({"a": "x".repeat(60_000)}));
         let stream = match form {
             "events" => EngineResponse::chunks("text/event-stream", vec![event.as_str(); 15]),
             _ => EngineResponse::chunks("text/event-stream", vec![": comment\n\n"; 80_000]),
@@ -317,8 +317,8 @@
     .await;
 }
 
-// While answers held all memory that was set aside for them, streams whose engines sent many small events in one chunk were
-// taken for streams of large events and broken off.
+// While answers held all memory that was set aside for them, streams whose engines sent many small events in
+// one chunk were taken for streams of large events and broken off.
 #[rstest]
 #[tokio::test]
 async fn streams_of_small_events_are_whole_while_answers_hold_their_memory(
