--- a/tests/memory/gateway.rs
+++ b/tests/memory/gateway.rs
@@ -92,8 +92,9 @@
     }
 
     /// Returns the resident memory at this moment, in megabytes.
-    fn resident_mb(&self) -> u64 {
-        resident_bytes(self.child.id()).unwrap_or(0) >> 20
+    pub fn resident_mb(&self) -> f64 {
+        let bytes = resident_bytes(self.child.id()).expect("the process runs");
+        bytes as f64 / f64::from(1 << 20)
     }
 
     /// Fails the test if the memory has grown by more than the given part of what the limit leaves for
@@ -105,7 +106,7 @@
     }
 
     /// Returns the largest resident memory so far, in megabytes.
-    pub fn peak_mb(&self) -> f64 {
+    fn peak_mb(&self) -> f64 {
         self.peak_bytes.load(Ordering::SeqCst) as f64 / f64::from(1 << 20)
     }
 
@@ -114,7 +115,7 @@
         let exit_status = self.child.try_wait().expect("the exit status can be read");
         assert_eq!(exit_status, None, "the gateway has ended");
         let peak_mb = self.peak_mb();
-        println!("limit={} MB peak={peak_mb:.1} MB now={} MB", self.memory_mb, self.resident_mb());
+        println!("limit={} MB peak={peak_mb:.1} MB now={:.1} MB", self.memory_mb, self.resident_mb());
         assert!(peak_mb <= self.memory_mb as f64, "peak {peak_mb:.1} MB, limit {} MB", self.memory_mb);
     }
 }
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -240,7 +240,7 @@
         let list = vec!["0"; numbers].join(",");
         let answer = EngineResponse::json("200 OK", &format!(r#"{{"data":[[{list}]]}}"#));
         let mut gateway = start_gateway(memory_mb, usual_stream(), answer).await;
-        let idle_mb = gateway.peak_mb();
+        let idle_mb = gateway.resident_mb();
         let body = json!({"model": "embedder", "input": "text"}).to_string();
         let answer = send_request(gateway.address, "POST", "/v1/embeddings", &[], &body).await;
         gateway.assert_within_memory_limit();
@@ -256,7 +256,7 @@
 async fn call_of_many_small_inputs_stays_within_the_memory_limit(#[values("[1]", "1", "\"a\"")] input: &str) {
     run_local(async {
         let mut gateway = start_gateway(32, usual_stream(), small_embedding()).await;
-        let idle_mb = gateway.peak_mb();
+        let idle_mb = gateway.resident_mb();
         let inputs = vec![input; 250_000 / (input.len() + 1)].join(",");
         let text =
             request_text("/v1/embeddings", "", &format!(r#"{{"model":"embedder","input":[{inputs}]}}"#));
