Have the soak's fault library build on arm64: call epoll_pwait

SYS_epoll_pwait with a null signal mask and the mask's size (8 bytes in the kernel's form on both architectures) is the same call on x86-64 and on arm64. The replaced function, its failures and their frequency are as before.

--- a/tests/fault-shim/src/lib.rs
+++ b/tests/fault-shim/src/lib.rs
@@ -197,8 +197,13 @@
     if should_fail() {
         return fail(&[libc::EINTR]);
     }
-    // SAFETY: the caller provides arguments that are valid for the same system call.
-    unsafe { libc::syscall(libc::SYS_epoll_wait, fd, events, max_events, timeout) as c_int }
+    // Not every architecture has `SYS_epoll_wait`. With a null signal mask `SYS_epoll_pwait` is the same call.
+    let no_mask = std::ptr::null::<c_void>();
+    let mask_bytes: size_t = 8;
+    // SAFETY: the caller provides arguments that are valid for the same system call, and a null mask isn't read.
+    unsafe {
+        libc::syscall(libc::SYS_epoll_pwait, fd, events, max_events, timeout, no_mask, mask_bytes) as c_int
+    }
 }
 
 /// # Safety
