Tell a shortage of memory from the end of a client's stream

Clients whose bodies arrived while the memory for reading ahead was used up were reset without an answer.

Cause: poll_read_ahead read into a buffer as long as the room left. With none it had length 0, try_read returned 0 bytes although data had come, and that was taken for the end of the stream: the client counted as gone and its connection was closed over unread bytes.

Ruled out: the parser's own reads (hyper never reads into an empty buffer), the total of the memory (the account for reading ahead alone is enough), the poller's report (only asked when there is no room).

Change: room is Option<NonZeroUsize>, a read tells bytes from the end of the stream and refuses an empty buffer, reading ahead has the outcomes received, disconnected and no memory; the body of the request in progress is left to the parser.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -4,7 +4,7 @@
 use super::eviction::ServeLimits;
 use super::heads::{Framing, Heads};
 use super::read_ahead::{ReadAhead, SEGMENT_BYTES};
-use super::transport::{self, is_closed_or_has_input};
+use super::transport::{self, Received, is_closed_or_has_input};
 use crate::gateway::{AttemptError, Progress};
 use crate::memory::Memory;
 use hyper::body::{Body, Frame, SizeHint};
@@ -48,6 +48,17 @@
     }
 }
 
+/// The outcome of reading ahead of the parser.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadAheadOutcome {
+    /// Received bytes were stored for the parser.
+    Received,
+    /// The client has shut down its sending side, or the connection has failed.
+    ClientDisconnected,
+    /// Nothing was read, because no memory is left. This tells nothing about the client.
+    NoMemory,
+}
+
 /// One client connection.
 pub(super) struct Connection {
     pub(super) stream: Rc<TcpStream>,
@@ -132,34 +143,43 @@
     /// answered and further bytes wait behind it, the parser reads nothing
     /// more, so this method reads those bytes and keeps them for the parser.
     pub(super) async fn wait_for_disconnect(&self) -> ClientDisconnected {
-        while !self.read_ended.get() {
-            if self.read_ahead.borrow().room() > 0 {
-                poll_fn(|context| self.poll_read_ahead(context)).await;
-            } else {
-                // The end of the stream stands behind unread bytes, so only the poller can report it.
-                let ready = self.stream.ready(Interest::READABLE).await;
-                self.read_ended.set(ready.is_ok_and(|ready| ready.is_read_closed()));
-                if !self.read_ended.get() {
-                    tokio::time::sleep(DISCONNECT_CHECK_INTERVAL).await;
+        loop {
+            match poll_fn(|context| self.poll_read_ahead(context)).await {
+                ReadAheadOutcome::Received => {}
+                ReadAheadOutcome::ClientDisconnected => return ClientDisconnected,
+                ReadAheadOutcome::NoMemory => {
+                    // The end of the stream stands behind unread bytes, so only the poller can report it.
+                    let ready = self.stream.ready(Interest::READABLE).await;
+                    self.read_ended.set(ready.is_ok_and(|ready| ready.is_read_closed()));
+                    if !self.read_ended.get() {
+                        tokio::time::sleep(DISCONNECT_CHECK_INTERVAL).await;
+                    }
                 }
             }
         }
-        ClientDisconnected
     }
 
-    /// Reads ahead of the parser; ready once bytes or the end of the stream have arrived.
-    fn poll_read_ahead(&self, context: &mut Context<'_>) -> Poll<()> {
+    /// Reads ahead of the parser, once the request in progress has been received completely. Until then the
+    /// parser reads, in the task that polls this method too, and detects the end of the stream itself.
+    fn poll_read_ahead(&self, context: &mut Context<'_>) -> Poll<ReadAheadOutcome> {
+        if self.read_ended.get() {
+            return Poll::Ready(ReadAheadOutcome::ClientDisconnected);
+        }
+        if self.heads.borrow().is_body_incomplete() {
+            return Poll::Pending;
+        }
         let mut read_ahead = self.read_ahead.borrow_mut();
+        let Some(room) = read_ahead.room() else { return Poll::Ready(ReadAheadOutcome::NoMemory) };
         let mut bytes = [0; SEGMENT_BYTES];
-        let mut buffer = ReadBuf::new(&mut bytes[..read_ahead.room()]);
-        let read = ready!(transport::poll_read(&self.stream, context, &mut buffer));
-        if read.is_err() || buffer.filled().is_empty() {
-            self.read_ended.set(true);
-        } else {
+        let mut buffer = ReadBuf::new(&mut bytes[..room.get()]);
+        let received = ready!(transport::poll_receive(&self.stream, context, &mut buffer));
+        if let Ok(Received::Bytes) = received {
             self.record_received(buffer.filled());
             read_ahead.push(buffer.filled());
+            return Poll::Ready(ReadAheadOutcome::Received);
         }
-        Poll::Ready(())
+        self.read_ended.set(true);
+        Poll::Ready(ReadAheadOutcome::ClientDisconnected)
     }
 
     /// Returns true if the connection was asked to close or is closing on its own.
--- a/src/net/heads.rs
+++ b/src/net/heads.rs
@@ -124,6 +124,13 @@
         Some(Framing::Length)
     }
 
+    /// Returns true while the body of the request that `next` returned last has been received only in part, as
+    /// far as that is known.
+    pub(super) fn is_body_incomplete(&self) -> bool {
+        let has_later_head = self.length_framed > 0 || self.last.is_some();
+        matches!(self.position, Position::Body(_)) && !has_later_head
+    }
+
     /// Returns true while a request has been received in part, as far as that is known.
     pub(super) fn in_request(&self) -> bool {
         !matches!(self.position, Position::Head) || self.lines > 0 || !self.line.is_empty()
@@ -163,4 +170,19 @@
         let framings: Vec<_> = std::iter::from_fn(|| heads.next()).collect();
         assert_eq!((framings.as_slice(), heads.in_request()), (expected, in_request));
     }
+
+    // Bytes of the request in progress were taken for bytes that follow it.
+    #[test]
+    fn body_of_the_request_in_progress_is_distinguished_from_what_follows_it() {
+        let mut heads = Heads::default();
+        heads.push(b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab");
+        assert_eq!(heads.next(), Some(Framing::Length));
+        assert!(heads.is_body_incomplete());
+        heads.push(b"c");
+        assert!(!heads.is_body_incomplete());
+        heads.push(b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n");
+        assert!(!heads.is_body_incomplete(), "the incomplete body is that of a later request");
+        assert_eq!(heads.next(), Some(Framing::Length));
+        assert!(heads.is_body_incomplete());
+    }
 }
--- a/src/net/read_ahead.rs
+++ b/src/net/read_ahead.rs
@@ -2,6 +2,7 @@
 
 use crate::memory::{Memory, MemoryUse, Reservation};
 use std::collections::VecDeque;
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 use tokio::io::ReadBuf;
 
@@ -33,19 +34,23 @@
         self.segments.is_empty()
     }
 
-    /// Returns the number of bytes that `push` accepts now, `SEGMENT_BYTES` at most.
-    pub(super) fn room(&self) -> usize {
+    /// Returns the number of bytes that `push` accepts now, `SEGMENT_BYTES` at most. `None` while no memory is
+    /// left: nothing may be read then, since a read into an empty buffer looks like the end of the stream.
+    pub(super) fn room(&self) -> Option<NonZeroUsize> {
         if self.memory.available_bytes(MemoryUse::ReadAhead) >= SEGMENT_BYTES {
-            return SEGMENT_BYTES;
+            return NonZeroUsize::new(SEGMENT_BYTES);
         }
+        NonZeroUsize::new(self.free_in_last_segment())
+    }
+
+    fn free_in_last_segment(&self) -> usize {
         self.segments.back().map_or(0, |segment| SEGMENT_BYTES - segment.bytes.len())
     }
 
     /// Stores received bytes, of which there are at most as many as there is room for.
     pub(super) fn push(&mut self, bytes: &[u8]) {
-        debug_assert!(bytes.len() <= self.room());
-        let free = self.segments.back().map_or(0, |segment| SEGMENT_BYTES - segment.bytes.len());
-        let (first, rest) = bytes.split_at(free.min(bytes.len()));
+        debug_assert!(bytes.len() <= self.room().map_or(0, NonZeroUsize::get));
+        let (first, rest) = bytes.split_at(self.free_in_last_segment().min(bytes.len()));
         if let Some(segment) = self.segments.back_mut() {
             segment.bytes.extend_from_slice(first);
         }
@@ -102,7 +107,7 @@
         let mut read_ahead = ReadAhead::new(memory(4));
         let bytes: Vec<u8> = (0..6000u32).map(|n| n as u8).collect();
         for piece in bytes.chunks(piece) {
-            assert!(read_ahead.room() >= piece.len());
+            assert!(read_ahead.room().is_some_and(|room| room.get() >= piece.len()));
             read_ahead.push(piece);
         }
         let taken: Vec<u8> = std::iter::from_fn(|| Some(take(&mut read_ahead, 999)))
@@ -118,8 +123,8 @@
     fn capacity_is_returned_as_the_bytes_are_taken() {
         let memory = memory(64);
         let mut read_ahead = ReadAhead::new(memory.clone());
-        while read_ahead.room() > 0 {
-            read_ahead.push(&[7; SEGMENT_BYTES][..read_ahead.room()]);
+        while let Some(room) = read_ahead.room() {
+            read_ahead.push(&[7; SEGMENT_BYTES][..room.get()]);
         }
         assert_eq!(memory.reserved_bytes(MemoryUse::ReadAhead), 64 * SEGMENT_BYTES);
         take(&mut read_ahead, 63 * SEGMENT_BYTES);
@@ -138,6 +143,8 @@
         read_ahead.push(&[1]);
         other.push(&[1]);
         assert_eq!(memory.available_bytes(MemoryUse::ReadAhead), 0);
-        assert_eq!(read_ahead.room(), SEGMENT_BYTES - 1);
+        assert_eq!(read_ahead.room(), NonZeroUsize::new(SEGMENT_BYTES - 1));
+        read_ahead.push(&[1; SEGMENT_BYTES - 1]);
+        assert_eq!(read_ahead.room(), None);
     }
 }
--- a/src/net/transport.rs
+++ b/src/net/transport.rs
@@ -114,6 +114,31 @@
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
 }
 
+/// The outcome of a read from a socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Received {
+    /// Bytes were added to the buffer.
+    Bytes,
+    /// The peer sends nothing more.
+    EndOfStream,
+}
+
+/// Reads from a socket and distinguishes received bytes from the end of the stream. Returns an error for a full
+/// buffer: the system reports the end of the stream and a read of no bytes by the same value.
+pub(super) fn poll_receive(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+) -> Poll<io::Result<Received>> {
+    if buffer.remaining() == 0 {
+        return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidInput, "no room for received bytes")));
+    }
+    let filled_before = buffer.filled().len();
+    ready!(poll_read(stream, context, buffer))?;
+    let has_grown = buffer.filled().len() > filled_before;
+    Poll::Ready(Ok(if has_grown { Received::Bytes } else { Received::EndOfStream }))
+}
+
 /// Reads from a socket that is shared with other code that checks its state.
 pub(super) fn poll_read(
     stream: &TcpStream,
