Let leases that end with their process say who accepts clients

After an upgrade that had failed, the old process went on serving, but at its next planned restart it accepted no client from SIGTERM on: ten of ten requests stayed unanswered.

Cause: the tag of the new process in the file `serving` outlived it, and is_superseded asked nothing of its writer. The question was also asked once only, and the listener closed at once, so that a new version that failed a moment later, or hung, left clients alone as well.

Ruled out: the engines withheld in the same folder (meant to outlive their writer), drains (in the process).

Change: each process that accepts clients holds a lease, a locked file that the kernel frees with the process; it is released at SIGTERM. A superseded process that stops keeps its listener for its time of service, looks at the leases every 20 ms and accepts again when no later one is left. What a hanging process leaves in the backlog for 0.16 s is accepted, too. In doubt a process serves on.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 mod bounds;
 mod inference;
+mod lease;
 mod list;
 mod reload;
 mod shared;
--- a/src/config/shared.rs
+++ b/src/config/shared.rs
@@ -1,6 +1,7 @@
 //! Folder shared by the processes of one gateway while a new version replaces an old one. The folder holds
-//! the operator commands in force and the identifier of the process that accepts clients.
+//! the operator commands in force and the leases of the processes that accept clients.
 
+use super::lease::Leases;
 use crate::gateway::{Change, ChangeContent, Changes};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -14,8 +15,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// File with the names of the engines withheld by an operator, as a JSON list.
 const WITHHELD_FILE: &str = "withheld.json";
-/// File with the identifier of the process that most recently began to accept clients.
-const SERVING_FILE: &str = "serving";
 
 type EngineNames = BTreeSet<Arc<str>>;
 
@@ -25,6 +24,8 @@
     folder: Option<Rc<Path>>,
     /// Identifier that distinguishes this process from the other processes of the gateway.
     process_tag: Rc<str>,
+    leases: Rc<Leases>,
+    /// True once this process has begun to accept clients.
     claimed: Rc<Cell<bool>>,
     /// True once the persisted commands have been read. Before that a withheld engine could be used.
     loaded: Rc<Cell<bool>>,
@@ -37,11 +38,13 @@
     /// persisted commands have been read.
     pub fn new(parent: Option<PathBuf>, name: &str) -> Self {
         let folder_name: String = name.chars().filter(char::is_ascii_alphanumeric).collect();
-        let folder = parent.map(|parent| parent.join(format!("meadowlug-{folder_name}")));
-        let process_tag = format!("{}-{}", std::process::id(), crate::gateway::Clock::default().now());
+        let folder: Option<Rc<Path>> =
+            parent.map(|parent| parent.join(format!("meadowlug-{folder_name}")).into());
+        let process_tag: Rc<str> =
+            format!("{}-{}", std::process::id(), crate::gateway::Clock::default().now()).into();
+        let leases = Rc::new(Leases::new(folder.clone(), process_tag.clone()));
         let (claimed, loaded, withheld) = (Rc::default(), Rc::default(), Rc::default());
-        let shared =
-            Self { folder: folder.map(Rc::from), process_tag: process_tag.into(), claimed, loaded, withheld };
+        let shared = Self { folder, process_tag, leases, claimed, loaded, withheld };
         if let Err(error) = shared.refresh() {
             log::warn!("operator commands cannot be read yet error={error}");
         }
@@ -118,9 +121,10 @@
         Ok(())
     }
 
-    /// Records that this process accepts clients from now on, even if the record cannot be persisted.
+    /// Acquires the lease of a process that accepts clients. Even if that fails, this process counts as one that
+    /// accepts clients from now on.
     pub fn claim(&self) -> io::Result<()> {
-        let result = self.write(SERVING_FILE, self.process_tag.as_bytes());
+        let result = self.leases.acquire();
         self.claimed.set(true);
         result
     }
@@ -130,9 +134,15 @@
         self.claimed.get()
     }
 
-    /// Returns true if another process has begun to accept clients after this one.
+    /// Releases the lease, since this process was asked to stop: from now on it supersedes no other process.
+    pub fn release_claim(&self) {
+        self.leases.release();
+    }
+
+    /// Returns true if another process, which lives and was not asked to stop, has begun to accept clients after
+    /// this one.
     pub fn is_superseded(&self) -> bool {
-        matches!(self.read(SERVING_FILE), Ok(Some(process_tag)) if process_tag != self.process_tag.as_bytes())
+        self.leases.is_superseded()
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! Connects the parts of the gateway and serves requests until the process is asked to stop.
 
+mod handover;
 mod stop;
 
 use crate::config::{self, Bounds, Config};
@@ -129,21 +130,6 @@
     }
 }
 
-/// Records that this process accepts clients, as soon as it can serve. The record lets the gateway's other
-/// process detect that it is superseded. Readiness is reported to operators only afterwards, because an
-/// operator who sees this process ready may immediately stop the other process.
-fn claim_when_ready(chat: &Gateway<HttpEngines>, shared: &config::SharedState) {
-    let (chat, shared) = (chat.clone(), shared.clone());
-    tokio::task::spawn_local(async move {
-        while !(shared.is_loaded() && chat.can_serve()) {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        if let Err(error) = shared.claim() {
-            log::warn!("claim of the gateway not persisted error={error}");
-        }
-    });
-}
-
 /// Serves operators until the process ends: `connections` at a time, and
 /// `extra_connections` more get an error response.
 fn serve_operators(
@@ -262,23 +248,17 @@
         idle_timeout: CLIENT_IDLE_TIMEOUT,
         min_idle: CLIENT_MIN_IDLE_TIMEOUT,
     };
-    claim_when_ready(&chat, &shared);
+    handover::claim_when_ready(&chat, &shared, phases.clone());
     let mut served = tokio::task::spawn_local(net::serve(listener, Rc::new(fronts), limits, memory, phases));
     tokio::select! {
         Some(result) = driver_results.recv() => return Err(format!("driver ended: {result}").into()),
         result = &mut served => return Err(format!("client listener ended: {result:?}").into()),
         () = stop => {}
     }
-    // If a new version already accepts clients on the same socket, this process must accept none any more.
-    let superseded = shared.is_superseded();
-    log::info!("stopping open={} superseded={superseded}", chat.open_request_count());
-    phase.send_replace(if superseded { Phase::Superseded } else { Phase::Stopping });
+    log::info!("stopping open={}", chat.open_request_count());
     let plan = StopPlan::new(Instant::now(), &chat.settings(), config.resume);
     gateways.iter().for_each(|gateway| gateway.shut_down(plan.schedule));
-    if !superseded {
-        tokio::time::sleep(plan.serve_for).await;
-        phase.send_replace(Phase::Closing);
-    }
+    handover::accept_or_stand_by(&shared, &phase, plan.serve_for).await;
     tokio::select! {
         served = &mut served => served?,
         () = tokio::time::sleep_until(plan.schedule.answer_deadline) => {
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -1,9 +1,10 @@
-//! Accepts client connections and classifies failed accepts.
+//! Accepts client connections, classifies failed accepts, and detects connections that no process accepts.
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use socket2::SockRef;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Delay before the next accept after one that failed for lack of resources.
@@ -12,6 +13,37 @@
 /// pending while the gateway closes its listener are abandoned.
 const MAX_ACCEPT_FAILURES: usize = 25;
 
+/// Interval at which the backlog of a socket is checked that another process serves.
+pub(super) const BACKLOG_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which connections may wait in the backlog before they count as neglected. A process that serves
+/// the socket may be held up for 0.15 s.
+const MAX_BACKLOG_WAIT: Duration = Duration::from_millis(160);
+
+/// Returns true if a connection waits in the backlog of a listening socket.
+fn has_pending_connection(listener: &TcpListener) -> bool {
+    let mut polled = [PollFd::new(listener, PollFlags::IN)];
+    let no_wait = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut polled, Some(&no_wait)).is_ok_and(|ready| ready > 0)
+}
+
+/// Watches the backlog of a socket that another process serves: a process that lives but hangs accepts nothing.
+#[derive(Debug, Default)]
+pub(super) struct BacklogWatch {
+    /// Time of the first of the successive checks at which connections were waiting.
+    pending_since: Option<Instant>,
+}
+
+impl BacklogWatch {
+    /// Checks the backlog and returns true if connections have been waiting for too long.
+    pub(super) fn is_neglected(&mut self, listener: &TcpListener, now: Instant) -> bool {
+        if !has_pending_connection(listener) {
+            self.pending_since = None;
+            return false;
+        }
+        now.duration_since(*self.pending_since.get_or_insert(now)) >= MAX_BACKLOG_WAIT
+    }
+}
+
 /// The kind of a failed accept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AcceptFailure {
@@ -61,6 +93,20 @@
     use super::*;
     use rstest::rstest;
 
+    // A process that hung kept all connections of the socket that it shared with another process.
+    #[tokio::test]
+    async fn connections_that_nobody_accepts_are_detected() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let (mut watch, start) = (BacklogWatch::default(), Instant::now());
+        assert!(!watch.is_neglected(&listener, start));
+        let _client = TcpStream::connect(address).await.expect("the system accepts the connection");
+        assert!(!watch.is_neglected(&listener, start + MAX_BACKLOG_WAIT), "the wait has only begun");
+        assert!(watch.is_neglected(&listener, start + 2 * MAX_BACKLOG_WAIT));
+        assert!(accept_pending(&listener).await.is_some());
+        assert!(!watch.is_neglected(&listener, start + 3 * MAX_BACKLOG_WAIT));
+    }
+
     // A connection that was gone before it was accepted
     // prevented all connections behind it from being accepted.
     #[rstest]
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,7 +1,9 @@
 //! The server side: a bounded number of client connections,
 //! each served by its own task, which isolates panics.
 
-use super::accept::{ACCEPT_RETRY_DELAY, AcceptFailure, accept_pending};
+use super::accept::{
+    ACCEPT_RETRY_DELAY, AcceptFailure, BACKLOG_CHECK_INTERVAL, BacklogWatch, accept_pending,
+};
 use super::closing::{CloseEffect, CloseReason, ClosedConnection, finish_shutdown, linger};
 use super::connection::{ClientBody, ClientStream, Connection, RequestInProgress};
 use super::engines::HttpEvents;
@@ -20,7 +22,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -47,10 +49,12 @@
     DrainClosing,
     /// Asked to shut down; new connections and requests are still served.
     Stopping,
+    /// Asked to shut down while another process accepts clients on the same socket: connections close after the
+    /// response in progress, and new ones are left to that process, unless it does not accept them.
+    StandingBy,
     /// No new connections; open ones close after the response in progress.
     Closing,
-    /// Like `Closing`, but another process accepts clients on the same socket:
-    /// connections that were not accepted yet are left to that process.
+    /// Like `Closing`, but connections that were not accepted yet are left to another process.
     Superseded,
     /// Every accepted request has its response; all remaining connections are closed.
     Ended,
@@ -59,13 +63,18 @@
 impl Phase {
     /// Returns true if the process was asked to shut down.
     pub fn is_shutdown(self) -> bool {
-        matches!(self, Self::Stopping | Self::Closing | Self::Superseded | Self::Ended)
+        matches!(self, Self::Stopping | Self::StandingBy) || self.has_stopped_accepting()
     }
 
-    /// Returns true if new connections are no longer accepted.
-    fn stops_accepting(self) -> bool {
+    /// Returns true if new connections are no longer accepted, whatever happens.
+    fn has_stopped_accepting(self) -> bool {
         matches!(self, Self::Closing | Self::Superseded | Self::Ended)
     }
+
+    /// Returns true if connections close after the response in progress.
+    fn closes_connections(self) -> bool {
+        matches!(self, Self::DrainClosing | Self::StandingBy) || self.has_stopped_accepting()
+    }
 }
 
 /// A protocol front end, which handles requests.
@@ -142,14 +151,34 @@
             phases.clone(),
         ));
     };
+    let mut backlog_check = tokio::time::interval(BACKLOG_CHECK_INTERVAL);
+    backlog_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut backlog_watch = BacklogWatch::default();
     loop {
+        let current_phase = *phase.borrow_and_update();
+        if current_phase.has_stopped_accepting() {
+            break;
+        }
+        let stands_by = current_phase == Phase::StandingBy;
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| phase.stops_accepting()) => break,
+            accepted = listener.accept(), if !stands_by => accepted,
+            changed = phase.changed() => match changed {
+                Ok(()) => continue,
+                Err(_) => break,
+            },
             _ = overdue_check.tick() => {
                 connections.close_overdue();
                 continue;
             }
+            _ = backlog_check.tick(), if stands_by => {
+                if backlog_watch.is_neglected(&listener, Instant::now()) {
+                    log::warn!("connections accepted that the other process left waiting");
+                    while let Some(stream) = accept_pending(&listener).await {
+                        start_connection(stream).await;
+                    }
+                }
+                continue;
+            }
         };
         match accepted {
             Ok((stream, _)) => start_connection(stream).await,
@@ -293,7 +322,7 @@
 /// and lose that request. A request that stalls times out as at any other time.
 async fn wait_for_graceful_close(phase: &mut watch::Receiver<Phase>, connection: &Connection) {
     // Without a sender, nothing ends the connections that are being served.
-    if phase.wait_for(|phase| *phase == Phase::DrainClosing || phase.stops_accepting()).await.is_err() {
+    if phase.wait_for(|phase| phase.closes_connections()).await.is_err() {
         return std::future::pending().await;
     }
     while !connection.is_answering() && (connection.in_request() || connection.has_unread_input()) {
