Watch the backlog of a shared socket in a function of its own

The loop that waits until connections are neglected is part of BacklogWatch now. Behaviour is as before; tests/upgrade.rs, tests/races.rs and the unit tests pass.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -14,7 +14,7 @@
 const MAX_ACCEPT_FAILURES: usize = 25;
 
 /// Interval at which the backlog of a socket is checked that another process serves.
-pub(super) const BACKLOG_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const BACKLOG_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which connections may wait in the backlog before they count as neglected. A process that serves
 /// the socket may be held up for 0.15 s.
 const MAX_BACKLOG_WAIT: Duration = Duration::from_millis(160);
@@ -34,8 +34,16 @@
 }
 
 impl BacklogWatch {
+    /// Waits until connections have been waiting for too long.
+    pub(super) async fn wait_until_neglected(&mut self, listener: &TcpListener) {
+        while !self.is_neglected(listener, Instant::now()) {
+            tokio::time::sleep(BACKLOG_CHECK_INTERVAL).await;
+        }
+        self.pending_since = None;
+    }
+
     /// Checks the backlog and returns true if connections have been waiting for too long.
-    pub(super) fn is_neglected(&mut self, listener: &TcpListener, now: Instant) -> bool {
+    fn is_neglected(&mut self, listener: &TcpListener, now: Instant) -> bool {
         if !has_pending_connection(listener) {
             self.pending_since = None;
             return false;
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,9 +1,7 @@
 //! The server side: a bounded number of client connections,
 //! each served by its own task, which isolates panics.
 
-use super::accept::{
-    ACCEPT_RETRY_DELAY, AcceptFailure, BACKLOG_CHECK_INTERVAL, BacklogWatch, accept_pending,
-};
+use super::accept::{ACCEPT_RETRY_DELAY, AcceptFailure, BacklogWatch, accept_pending};
 use super::closing::{CloseEffect, CloseReason, ClosedConnection, finish_shutdown, linger};
 use super::connection::{ClientBody, ClientStream, Connection, RequestInProgress};
 use super::engines::HttpEvents;
@@ -22,7 +20,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -151,8 +149,11 @@
             phases.clone(),
         ));
     };
-    let mut backlog_check = tokio::time::interval(BACKLOG_CHECK_INTERVAL);
-    backlog_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let start_pending = async || {
+        while let Some(stream) = accept_pending(&listener).await {
+            start_connection(stream).await;
+        }
+    };
     let mut backlog_watch = BacklogWatch::default();
     loop {
         let current_phase = *phase.borrow_and_update();
@@ -170,13 +171,9 @@
                 connections.close_overdue();
                 continue;
             }
-            _ = backlog_check.tick(), if stands_by => {
-                if backlog_watch.is_neglected(&listener, Instant::now()) {
-                    log::warn!("connections accepted that the other process left waiting");
-                    while let Some(stream) = accept_pending(&listener).await {
-                        start_connection(stream).await;
-                    }
-                }
+            () = backlog_watch.wait_until_neglected(&listener), if stands_by => {
+                log::warn!("connections accepted that the other process left waiting");
+                start_pending().await;
                 continue;
             }
         };
@@ -196,9 +193,7 @@
     if *phase.borrow() == Phase::Closing {
         // The kernel has already accepted these connections; closing
         // the listener would reset them and lose their requests.
-        while let Some(stream) = accept_pending(&listener).await {
-            start_connection(stream).await;
-        }
+        start_pending().await;
     }
     drop(listener);
     while connections.open_count() > 0 {
