Give each process of the upgrade tests an operators' address of its own

The operators' port was taken as free, given back, and assigned anew by the system to another test's listener, which closed it, before the process listened. No check changed.

--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -11,6 +11,7 @@
 use std::os::fd::AsRawFd;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tokio::task::spawn_local;
 
@@ -21,6 +22,14 @@
 /// Maximum time until a client has its answer. The deadline of a request is 3 s.
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(3_500);
 
+/// Returns an operators' address that only one process uses. Its port lies outside the range from which the system
+/// assigns ports: a port that was merely free could be assigned again before the process listens.
+fn operators_address() -> SocketAddr {
+    static NEXT_PROCESS: AtomicU8 = AtomicU8::new(1);
+    let run_octet = (std::process::id() % 250) as u8;
+    SocketAddr::from(([127, 79, run_octet, NEXT_PROCESS.fetch_add(1, Ordering::Relaxed)], 9001))
+}
+
 /// A gateway process, which is killed when this is dropped.
 struct GatewayProcess {
     child: Child,
@@ -30,9 +39,7 @@
 impl GatewayProcess {
     /// Starts a process that inherits the clients' listening socket.
     fn start(listener: &std::net::TcpListener, discovery: &Discovery, folder: &Path) -> Self {
-        let free_port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let management = free_port.local_addr().expect("the listener has an address");
-        drop(free_port);
+        let management = operators_address();
         let mut settings = Daemon::settings();
         for class in 0..2 {
             settings["categories"][class]["hardLimitMs"] = json!(3_000);
@@ -42,7 +49,7 @@
             "name": "n0", "listen": listen, "management": management.to_string(), "seed": "5", "known": null,
             "discovery": discovery.address.to_string(), "limits": {}, "settings": settings,
         });
-        let path = folder.join(format!("config-{}.json", management.port()));
+        let path = folder.join(format!("config-{}.json", management.ip()));
         std::fs::write(&path, config.to_string()).expect("the file can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_meadowlug"))
             .env("BALANCER_CONFIG", path)
