Find the close of a client behind any number of unread requests

A client that sent hundreds of requests at once and closed had its request sent on to a writer up to 0.4 s later; one that ended only its sending side had all its requests sent, one after the other.

Cause: the end of the stream stands behind unread bytes, and reading ahead stopped at the bound of M / 64. With the window closed the poller cannot report it either.

Change: beyond M / 128 on a connection, or M / 64 on all, what is behind the request in progress is read and discarded up to 32 MB, and the connection closes after that answer.

--- a/src/config/bounds.rs
+++ b/src/config/bounds.rs
@@ -83,6 +83,7 @@
         let memory = MemoryLimits {
             total_bytes: bytes.saturating_sub(uncharged_connections * connection_bytes).max(bytes / 2),
             read_ahead_bytes: bytes / 64,
+            read_ahead_bytes_per_connection: bytes / 128,
             incoming_body_bytes: (bytes / 8).max(MAX_BODY_BYTES),
             answer_bytes: bytes / 8,
         };
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -60,6 +60,8 @@
     pub total_bytes: usize,
     /// Maximum of the reservations for [`MemoryUse::ReadAhead`].
     pub read_ahead_bytes: usize,
+    /// Maximum of these reservations for one connection.
+    pub read_ahead_bytes_per_connection: usize,
     /// Maximum of the reservations for [`MemoryUse::IncomingBody`].
     pub incoming_body_bytes: usize,
     /// Maximum of the reservations for [`MemoryUse::Answer`].
@@ -71,6 +73,7 @@
     pub const UNLIMITED: Self = Self {
         total_bytes: Semaphore::MAX_PERMITS,
         read_ahead_bytes: Semaphore::MAX_PERMITS,
+        read_ahead_bytes_per_connection: Semaphore::MAX_PERMITS,
         incoming_body_bytes: Semaphore::MAX_PERMITS,
         answer_bytes: Semaphore::MAX_PERMITS,
     };
@@ -103,6 +106,11 @@
         Arc::new(Self { limits, total, by_use })
     }
 
+    /// Returns the limits.
+    pub fn limits(&self) -> &MemoryLimits {
+        &self.limits
+    }
+
     /// Returns the number of bytes that are reserved for a use.
     pub fn reserved_bytes(&self, memory_use: MemoryUse) -> usize {
         self.limits.of(memory_use) - self.by_use[memory_use as usize].available_permits()
@@ -177,8 +185,13 @@
 mod tests {
     use super::*;
 
-    const LIMITS: MemoryLimits =
-        MemoryLimits { total_bytes: 100, read_ahead_bytes: 30, incoming_body_bytes: 40, answer_bytes: 50 };
+    const LIMITS: MemoryLimits = MemoryLimits {
+        total_bytes: 100,
+        read_ahead_bytes: 30,
+        read_ahead_bytes_per_connection: 30,
+        incoming_body_bytes: 40,
+        answer_bytes: 50,
+    };
 
     #[test]
     fn reservations_stay_within_the_limit_of_their_use_and_the_total() {
--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -2,12 +2,16 @@
 
 use super::connection::Connection;
 use super::transport::{end_writing, must_retry};
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// Maximum time a connection that is shut down may take to write out its remaining data.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
+/// The response to a request that was received on a connection that closes before the request could be served.
+const REFUSAL_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nContent-Length: 0\r\n\r\n";
 /// Maximum time in which data that a client still sends after its response are read and discarded.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -96,6 +100,34 @@
     }
 }
 
+/// Refuses the requests that were received behind the last response, so that each has an answer. None of them was
+/// passed on. Returns the number of these requests.
+pub(super) async fn refuse_waiting_requests(connection: &Connection) -> usize {
+    let count = connection.take_waiting_requests();
+    let refuse = async {
+        for _ in 0..count {
+            if write_all(&connection.stream, REFUSAL_RESPONSE).await.is_err() {
+                return;
+            }
+        }
+    };
+    // A client that does not read its responses is not waited for.
+    let _ = tokio::time::timeout(SHUTDOWN_TIMEOUT, refuse).await;
+    count
+}
+
+async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
+            Ok(written) => bytes = &bytes[written..],
+            Err(error) if must_retry(&error) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
 /// Shuts down the sending side, then reads and discards for a while what the client still sends, so that a
 /// response sent before the end of its request reaches the client. Closing a socket with unread bytes resets
 /// the connection, and the response would be lost.
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -26,9 +26,17 @@
 /// data already passed to hyper is written out first.
 const WRITE_OUT_DELAY: Duration = Duration::from_millis(20);
 
-/// Interval at which a connection is checked for a disconnect while no memory is left for reading ahead.
+/// Interval at which a connection is checked for a disconnect while nothing is read ahead.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Size of the buffer for bytes that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 16 << 10;
+/// Maximum number of reads after the last response, so that a client that goes on sending does not delay the close.
+const MAX_FINAL_READS: usize = 64;
+/// Maximum number of bytes that are discarded on one connection: more than the system buffers between two
+/// sockets, so that the end of the stream of a client that has left is found behind them.
+const MAX_DISCARDED_BYTES: usize = 32 << 20;
+
 /// The client has closed or reset its connection, or has
 /// shut down its sending side: no response is owed any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,8 +63,8 @@
     Received,
     /// The client has shut down its sending side, or the connection has failed.
     ClientDisconnected,
-    /// Nothing was read, because no memory is left. This tells nothing about the client.
-    NoMemory,
+    /// Nothing may be read now. This tells nothing about the client.
+    NotRead,
 }
 
 /// One client connection.
@@ -67,6 +75,11 @@
     read_ahead: RefCell<ReadAhead>,
     /// True once the client has shut down its sending side or the connection has failed.
     read_ended: Cell<bool>,
+    /// True once more was received behind a request than may wait for the parser. The requests behind it are
+    /// refused.
+    overflowed: Cell<bool>,
+    overflow: Notify,
+    discarded_bytes: Cell<usize>,
     /// Number of requests that are being answered.
     requests_in_progress: Cell<usize>,
     /// The id of the request that has no response yet.
@@ -92,6 +105,9 @@
             heads: RefCell::default(),
             read_ahead: RefCell::new(ReadAhead::new(memory)),
             read_ended: Cell::new(false),
+            overflowed: Cell::new(false),
+            overflow: Notify::new(),
+            discarded_bytes: Cell::new(0),
             requests_in_progress: Cell::new(0),
             unanswered_id: RefCell::default(),
             has_received_request: Cell::new(false),
@@ -108,6 +124,27 @@
         self.close_request.notified().await;
     }
 
+    /// Waits until more was received behind a request than may wait for the parser.
+    pub(super) async fn wait_for_overflow(&self) {
+        self.overflow.notified().await;
+    }
+
+    /// Returns true once more was received behind a request than may wait for the parser.
+    pub(super) fn has_overflowed(&self) -> bool {
+        self.overflowed.get()
+    }
+
+    /// Reads what has arrived, and returns the number of requests that were received completely but not passed on
+    /// by the parser. None of them is counted again.
+    pub(super) fn take_waiting_requests(&self) -> usize {
+        let mut bytes = [0; DISCARD_BUFFER_BYTES];
+        for _ in 0..MAX_FINAL_READS {
+            let Ok(count @ 1..) = self.stream.try_read(&mut bytes) else { break };
+            self.record_received(&bytes[..count]);
+        }
+        self.heads.borrow_mut().take_waiting_requests()
+    }
+
     /// Returns the framing of the request that the parser passes on next.
     pub(super) fn next_framing(&self) -> Framing {
         // A head that was not seen completely may contain both a length and a transfer encoding.
@@ -147,7 +184,7 @@
             match poll_fn(|context| self.poll_read_ahead(context)).await {
                 ReadAheadOutcome::Received => {}
                 ReadAheadOutcome::ClientDisconnected => return ClientDisconnected,
-                ReadAheadOutcome::NoMemory => {
+                ReadAheadOutcome::NotRead => {
                     // The end of the stream stands behind unread bytes, so only the poller can report it.
                     let ready = self.stream.ready(Interest::READABLE).await;
                     self.read_ended.set(ready.is_ok_and(|ready| ready.is_read_closed()));
@@ -168,14 +205,44 @@
         if self.heads.borrow().is_body_incomplete() {
             return Poll::Pending;
         }
+        if self.overflowed.get() {
+            return self.poll_discard(context);
+        }
         let mut read_ahead = self.read_ahead.borrow_mut();
-        let Some(room) = read_ahead.room() else { return Poll::Ready(ReadAheadOutcome::NoMemory) };
+        let Some(room) = read_ahead.room() else {
+            if self.heads.borrow().is_end_unknown() {
+                // The bytes may belong to the request in progress.
+                return Poll::Ready(ReadAheadOutcome::NotRead);
+            }
+            read_ahead.clear();
+            self.overflowed.set(true);
+            self.overflow.notify_one();
+            return self.poll_discard(context);
+        };
         let mut bytes = [0; SEGMENT_BYTES];
         let mut buffer = ReadBuf::new(&mut bytes[..room.get()]);
-        let received = ready!(transport::poll_receive(&self.stream, context, &mut buffer));
-        if let Ok(Received::Bytes) = received {
+        let outcome = ready!(self.poll_receive(context, &mut buffer));
+        read_ahead.push(buffer.filled());
+        Poll::Ready(outcome)
+    }
+
+    /// Discards what was received behind the request in progress, so that the end of the stream is found however
+    /// much a client has sent before it left.
+    fn poll_discard(&self, context: &mut Context<'_>) -> Poll<ReadAheadOutcome> {
+        if self.discarded_bytes.get() > MAX_DISCARDED_BYTES {
+            return Poll::Ready(ReadAheadOutcome::NotRead);
+        }
+        let mut bytes = [0; DISCARD_BUFFER_BYTES];
+        let mut buffer = ReadBuf::new(&mut bytes);
+        let outcome = ready!(self.poll_receive(context, &mut buffer));
+        self.discarded_bytes.set(self.discarded_bytes.get() + buffer.filled().len());
+        Poll::Ready(outcome)
+    }
+
+    /// Receives bytes into an empty buffer and records them, or the end of the stream.
+    fn poll_receive(&self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<ReadAheadOutcome> {
+        if let Ok(Received::Bytes) = ready!(transport::poll_receive(&self.stream, context, buffer)) {
             self.record_received(buffer.filled());
-            read_ahead.push(buffer.filled());
             return Poll::Ready(ReadAheadOutcome::Received);
         }
         self.read_ended.set(true);
@@ -338,6 +405,10 @@
         if self.0.read_ended.get() {
             return Poll::Ready(Ok(()));
         }
+        if self.0.has_overflowed() {
+            // What was discarded is missing. The connection closes after the response in progress.
+            return Poll::Pending;
+        }
         let filled_before = buffer.filled().len();
         let read = transport::poll_read(&self.0.stream, context, buffer);
         if buffer.filled().len() > filled_before {
@@ -370,7 +441,12 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Keeps the sending side open if requests were received that are still to be refused. Dropping the stream
+    /// closes the connection.
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.0.heads.borrow().has_waiting_head() {
+            return Poll::Ready(Ok(()));
+        }
         Poll::Ready(transport::end_writing(&self.0.stream))
     }
 }
--- a/src/net/heads.rs
+++ b/src/net/heads.rs
@@ -127,8 +127,25 @@
     /// Returns true while the body of the request that `next` returned last has been received only in part, as
     /// far as that is known.
     pub(super) fn is_body_incomplete(&self) -> bool {
-        let has_later_head = self.length_framed > 0 || self.last.is_some();
-        matches!(self.position, Position::Body(_)) && !has_later_head
+        matches!(self.position, Position::Body(_)) && !self.has_waiting_head()
+    }
+
+    /// Returns true if the end of the request that `next` returned last is unknown.
+    pub(super) fn is_end_unknown(&self) -> bool {
+        matches!(self.position, Position::Unknown) && !self.has_waiting_head()
+    }
+
+    /// Returns the number of requests that were received completely, as far as that is known, and that `next`
+    /// has not returned, and forgets them.
+    pub(super) fn take_waiting_requests(&mut self) -> usize {
+        let heads = std::mem::take(&mut self.length_framed) + usize::from(self.last.take().is_some());
+        let is_last_incomplete = matches!(self.position, Position::Body(_));
+        heads.saturating_sub(usize::from(is_last_incomplete))
+    }
+
+    /// Returns true if the head of a request was received that `next` has not returned.
+    pub(super) fn has_waiting_head(&self) -> bool {
+        self.length_framed > 0 || self.last.is_some()
     }
 
     /// Returns true while a request has been received in part, as far as that is known.
@@ -171,6 +188,26 @@
         assert_eq!((framings.as_slice(), heads.in_request()), (expected, in_request));
     }
 
+    #[rstest]
+    #[case::none("POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na", 0)]
+    #[case::two(
+        "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\naGET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        2
+    )]
+    #[case::incomplete_body(
+        "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na",
+        1
+    )]
+    #[case::incomplete_head("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\nGET / HT", 1)]
+    #[case::chunks("GET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na", 1)]
+    fn complete_requests_behind_the_first_are_counted(#[case] text: &str, #[case] expected: usize) {
+        let mut heads = Heads::default();
+        heads.push(text.as_bytes());
+        heads.next();
+        assert_eq!(heads.take_waiting_requests(), expected);
+        assert_eq!(heads.take_waiting_requests(), 0);
+    }
+
     // Bytes of the request in progress were taken for bytes that follow it.
     #[test]
     fn body_of_the_request_in_progress_is_distinguished_from_what_follows_it() {
--- a/src/net/read_ahead.rs
+++ b/src/net/read_ahead.rs
@@ -34,10 +34,14 @@
         self.segments.is_empty()
     }
 
-    /// Returns the number of bytes that `push` accepts now, `SEGMENT_BYTES` at most. `None` while no memory is
-    /// left: nothing may be read then, since a read into an empty buffer looks like the end of the stream.
+    /// Returns the number of bytes that `push` accepts now, `SEGMENT_BYTES` at most. `None` while the connection
+    /// is at its limit or no memory is left: nothing may be read then, since a read into an empty buffer looks
+    /// like the end of the stream.
     pub(super) fn room(&self) -> Option<NonZeroUsize> {
-        if self.memory.available_bytes(MemoryUse::ReadAhead) >= SEGMENT_BYTES {
+        let connection_bytes = (self.segments.len() + 1) * SEGMENT_BYTES;
+        if connection_bytes <= self.memory.limits().read_ahead_bytes_per_connection
+            && self.memory.available_bytes(MemoryUse::ReadAhead) >= SEGMENT_BYTES
+        {
             return NonZeroUsize::new(SEGMENT_BYTES);
         }
         NonZeroUsize::new(self.free_in_last_segment())
@@ -64,6 +68,11 @@
         }
     }
 
+    /// Discards all stored bytes and returns their memory.
+    pub(super) fn clear(&mut self) {
+        self.segments = VecDeque::new();
+    }
+
     /// Moves bytes to the parser's buffer.
     pub(super) fn take(&mut self, buffer: &mut ReadBuf<'_>) {
         while buffer.remaining() > 0
@@ -134,6 +143,25 @@
         assert_eq!(memory.reserved_bytes(MemoryUse::ReadAhead), 0);
     }
 
+    // One connection could use up the memory that all connections share.
+    #[test]
+    fn connection_stays_within_its_own_limit() {
+        let limits = MemoryLimits {
+            read_ahead_bytes: 8 * SEGMENT_BYTES,
+            read_ahead_bytes_per_connection: 3 * SEGMENT_BYTES,
+            ..MemoryLimits::UNLIMITED
+        };
+        let memory = Memory::new(limits);
+        let mut read_ahead = ReadAhead::new(memory.clone());
+        while let Some(room) = read_ahead.room() {
+            read_ahead.push(&[7; SEGMENT_BYTES][..room.get()]);
+        }
+        assert_eq!(memory.reserved_bytes(MemoryUse::ReadAhead), 3 * SEGMENT_BYTES);
+        read_ahead.clear();
+        assert!(read_ahead.is_empty() && read_ahead.room().is_some());
+        assert_eq!(memory.reserved_bytes(MemoryUse::ReadAhead), 0);
+    }
+
     // A client that sends single bytes must not be charged less than what is allocated for them.
     #[test]
     fn single_bytes_are_charged_with_their_segment() {
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -2,7 +2,9 @@
 //! each served by its own task, which isolates panics.
 
 use super::accept::{ACCEPT_RETRY_DELAY, AcceptFailure, BacklogWatch, accept_pending};
-use super::closing::{CloseEffect, CloseReason, ClosedConnection, finish_shutdown, linger};
+use super::closing::{
+    CloseEffect, CloseReason, ClosedConnection, finish_shutdown, linger, refuse_waiting_requests,
+};
 use super::connection::{ClientBody, ClientStream, Connection, RequestInProgress};
 use super::engines::HttpEvents;
 use super::eviction::{Admission, Connections, Registration, ServeLimits};
@@ -79,7 +81,7 @@
 pub trait Front: 'static {
     /// Handles one request.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Response<FrontBody>>;
-    /// Refuses a request because there are too many connections.
+    /// Refuses a request because there are too many connections, or too many requests on its connection.
     fn refuse_over_limit(&self, request: &Request<Incoming>) -> Response<FrontBody>;
     /// Refuses a request whose head gives both a length and a transfer encoding.
     fn refuse_conflicting_lengths(&self) -> Response<FrontBody>;
@@ -232,7 +234,7 @@
         let connection = connection.clone();
         async move {
             let mut response = match framing {
-                _ if over_limit => front.refuse_over_limit(&request),
+                _ if over_limit || connection.has_overflowed() => front.refuse_over_limit(&request),
                 Framing::Both => front.refuse_conflicting_lengths(),
                 // The disconnect is polled first each time, so
                 // that no work starts for a client that has left.
@@ -270,6 +272,10 @@
                     break (finish_shutdown(http_connection.as_mut()).await, CloseReason::ShutDownWhileIdle);
                 }
             }
+            () = connection.wait_for_overflow(), if !shutting_down => {
+                shutting_down = true;
+                http_connection.as_mut().graceful_shutdown();
+            }
             () = connection.wait_for_close_request() => match CloseEffect::of(&connection) {
                 CloseEffect::StaysOpen => connection.cancel_close(),
                 CloseEffect::InterruptsRequest => {
@@ -296,12 +302,16 @@
         unanswered_request_id,
     });
     connection.mark_closing();
+    let refused_requests = match &result {
+        Ok(()) if !reason.was_idle() => refuse_waiting_requests(&connection).await,
+        _ => 0,
+    };
     // Closing a socket with unread bytes resets the connection, and the response written
     // last would be lost with it, so the rest is read first. An idle connection has no such
     // response, and its unread bytes are a new request: read but not answered it would be
     // lost, while after a reset the client sends it again. If a connection lingered while
     // another waits for its slot, that other one would be closed without a response.
-    let has_unread = connection.in_request() || connection.has_unread_input();
+    let has_unread = refused_requests > 0 || connection.in_request() || connection.has_unread_input();
     if has_unread && !reason.was_idle() && !connection.is_slot_awaited() {
         linger(&connection.stream, limits.buffer_bytes).await;
     }
