Count a request as answered only when its answer is written to the socket

Whole answers were cut off on their way to clients that read slowly: at a planned stop, a drain, when room was made for others, and after ten seconds with no disruption.

Cause: a request ended when the HTTP library had taken its body over. Its connection counted as idle from then on, and all that ends idle connections cut off what was not yet written.

Ruled out: the deadline of the call (8 s, not reached in the case), the kill (after the cut).

Change: a request is in progress until the library flushes the stream, which it does when all it had buffered is written.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -80,8 +80,10 @@
     overflowed: Cell<bool>,
     overflow: Notify,
     discarded_bytes: Cell<usize>,
-    /// Number of requests that are being answered.
+    /// Number of requests that are being answered: their response is not yet written to the socket completely.
     requests_in_progress: Cell<usize>,
+    /// Number of these requests whose response was passed on to the HTTP library completely.
+    unflushed_responses: Cell<usize>,
     /// The id of the request that has no response yet.
     unanswered_id: RefCell<Option<Rc<str>>>,
     /// True once the head of a request has been received on this connection.
@@ -109,6 +111,7 @@
             overflow: Notify::new(),
             discarded_bytes: Cell::new(0),
             requests_in_progress: Cell::new(0),
+            unflushed_responses: Cell::new(0),
             unanswered_id: RefCell::default(),
             has_received_request: Cell::new(false),
             last_activity: Cell::new(now),
@@ -297,6 +300,15 @@
         idle_time >= if self.has_received_request.get() { limits.idle_timeout } else { limits.stall_timeout }
     }
 
+    /// Records that all that was passed on to the HTTP library is written to the socket.
+    fn record_flushed(&self) {
+        let flushed = self.unflushed_responses.take();
+        if flushed > 0 {
+            self.requests_in_progress.set(self.requests_in_progress.get() - flushed);
+            self.last_activity.set(Instant::now());
+        }
+    }
+
     fn record_received(&self, bytes: &[u8]) {
         let now = Instant::now();
         let mut heads = self.heads.borrow_mut();
@@ -308,7 +320,8 @@
     }
 }
 
-/// A request that is being answered on a connection.
+/// A request that is being answered on a connection. It is in progress until it is dropped and what was passed on
+/// to the HTTP library by then is written to the socket: a client that reads slowly still gets its response.
 pub(super) struct RequestInProgress(Rc<Connection>);
 
 impl RequestInProgress {
@@ -323,12 +336,11 @@
 
 impl Drop for RequestInProgress {
     fn drop(&mut self) {
-        self.0.requests_in_progress.set(self.0.requests_in_progress.get() - 1);
-        self.0.last_activity.set(Instant::now());
+        self.0.unflushed_responses.set(self.0.unflushed_responses.get() + 1);
     }
 }
 
-/// A response body; dropping it ends the request on its connection.
+/// A response body; once it is dropped and written out the request on its connection has ended.
 pub(super) struct ClientBody<B: Body> {
     body: B,
     /// An error that is still to be reported, and the timer that delays it.
@@ -437,7 +449,9 @@
         true
     }
 
+    /// Called by the HTTP library when it has written all that it had buffered.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.record_flushed();
         Poll::Ready(Ok(()))
     }
 
