Blame no server for a connection that this process had no room for

With 500 clients that read slowly at 32 MB, servers that were well were taken for restarted and got less for seconds: their log lines were six attempts in a millisecond, `no memory is left for another connection`.

Without a connection, memory, descriptor or local port for a dial the attempt ended as NotConnected, which counts as a failure of its server.

Ruled out: the servers (stand-ins that answered all else).

Change: such attempts end as NotSent, which is true, allows another attempt and says nothing about the server.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -9,12 +9,14 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, body::Incoming};
 use hyper_util::rt::TokioIo;
+use rustix::io::Errno;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use std::{fmt, io};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -39,6 +41,20 @@
 /// that follow the response must not be taken for the next response.
 const REUSE_DELAY: Duration = Duration::from_millis(10);
 
+/// Returns the error of an attempt for which this process has no connection. Nothing was sent, and the engine has
+/// not shown any failure.
+fn local_shortage(cause: impl fmt::Display) -> AttemptError {
+    AttemptError::new(Progress::NotSent, cause)
+}
+
+/// Returns true if a connection could not be opened because this process or this machine lacks resources.
+fn is_local_shortage(error: &io::Error) -> bool {
+    // The errors by which socket(2) and connect(2) report a lack of descriptors, memory or local ports.
+    const SHORTAGES: [Errno; 5] =
+        [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+    Errno::from_io_error(error).is_some_and(|errno| SHORTAGES.contains(&errno))
+}
+
 /// Counts a connection as open until it is dropped.
 struct OpenCount(Rc<Cell<usize>>);
 
@@ -170,11 +186,11 @@
             self.close_one_idle();
         }
         if self.open_connections.get() >= max_connections {
-            return Err(AttemptError::new(Progress::NotConnected, "all connections are in use"));
+            return Err(local_shortage("all connections are in use"));
         }
-        let reservation = self.reserve_connection().ok_or_else(|| {
-            AttemptError::new(Progress::NotConnected, "no memory is left for another connection")
-        })?;
+        let reservation = self
+            .reserve_connection()
+            .ok_or_else(|| local_shortage("no memory is left for another connection"))?;
         self.connect(endpoint, reservation).await
     }
 
@@ -206,10 +222,12 @@
     async fn connect(&self, endpoint: &str, reservation: Reservation) -> Result<Channel, AttemptError> {
         self.open_connections.set(self.open_connections.get() + 1);
         let open_count = OpenCount(self.open_connections.clone());
-        let not_connected = |cause: String| AttemptError::new(Progress::NotConnected, cause);
+        let not_connected = |cause: String| AttemptError::new(Progress::NotSent, cause);
         let dialled = tokio::time::timeout(self.limits.dial_timeout, TcpStream::connect(endpoint)).await;
         let stream = dialled.map_err(|_| not_connected("connect timed out".into()))?;
-        let stream = stream.map_err(|e| not_connected(e.to_string()))?;
+        let stream = stream.map_err(|error| {
+            if is_local_shortage(&error) { local_shortage(error) } else { not_connected(error.to_string()) }
+        })?;
         stream.set_nodelay(true).map_err(|e| not_connected(e.to_string()))?;
         let (stream, meter) = (Rc::new(stream), Rc::<Meter>::default());
         let metered_stream = MeteredStream { stream: stream.clone(), meter: meter.clone() };
@@ -265,3 +283,52 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+    use tokio::net::TcpListener;
+
+    const LIMITS: PoolLimits = PoolLimits {
+        connections: 1,
+        reserved_for_releases: 0,
+        buffer_bytes: 8 << 10,
+        connection_bytes: 100,
+        dial_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+
+    // A gateway that had no connection or no memory left took its servers for dead or restarted, and sent them
+    // less for seconds.
+    #[rstest]
+    #[case::connections(1, 1_000)]
+    #[case::memory(2, 150)]
+    #[tokio::test]
+    async fn own_shortage_is_no_failure_of_the_engine(
+        #[case] connections: usize,
+        #[case] total_bytes: usize,
+    ) {
+        let acquire_twice = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+            let endpoint = Arc::from(listener.local_addr().expect("an address").to_string());
+            let memory = Memory::new(MemoryLimits { total_bytes, ..MemoryLimits::UNLIMITED });
+            let pool = Pool::with_memory(PoolLimits { connections, ..LIMITS }, memory);
+            let _first = pool.acquire(&endpoint).await.expect("there is room for one connection");
+            let second = pool.acquire(&endpoint).await;
+            assert_eq!(second.err().map(|error| error.progress), Some(Progress::NotSent));
+        };
+        tokio::task::LocalSet::new().run_until(acquire_twice).await;
+    }
+
+    #[rstest]
+    #[case(Errno::NFILE, true)]
+    #[case(Errno::NOBUFS, true)]
+    #[case(Errno::ADDRNOTAVAIL, true)]
+    #[case(Errno::CONNREFUSED, false)]
+    #[case(Errno::NETUNREACH, false)]
+    #[case(Errno::TIMEDOUT, false)]
+    fn local_shortages_are_distinguished(#[case] errno: Errno, #[case] expected: bool) {
+        assert_eq!(is_local_shortage(&io::Error::from(errno)), expected);
+    }
+}
