Run no request twice whose id comes again after its client has left

A chat request of a class that must not run twice ran again when it came again under its id, once its client had left or it had been answered.

Cause: an id was known only while its request was open.

Ruled out: ids of open requests (409 before), classes that may be repeated (they may).

--- a/src/front/reply.rs
+++ b/src/front/reply.rs
@@ -73,7 +73,7 @@
 /// Response to a request that the gateway did not accept.
 pub(super) fn rejection(rejected: Rejected) -> Response<FrontBody> {
     match rejected {
-        Rejected::Duplicate => error(StatusCode::CONFLICT, "a request of this id is open"),
+        Rejected::Duplicate => error(StatusCode::CONFLICT, "a request of this id is open or has run"),
         Rejected::KeyReused => {
             error(StatusCode::UNPROCESSABLE_ENTITY, "the idempotency key came with another request")
         }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -2,6 +2,7 @@
 //! under an idempotency key without running the request again.
 
 use super::intake::Caller;
+use super::spent_ids::SpentIds;
 use super::{Answer, EventStream, Rejected};
 use crate::interface::RequestId;
 use std::collections::{HashMap, VecDeque};
@@ -60,6 +61,7 @@
     bytes: usize,
     retained_bytes: usize,
     open_requests: HashMap<RequestId, OpenEntry<S>>,
+    spent_ids: SpentIds,
     keys: HashMap<Arc<str>, (u64, KeyState<S>)>,
     /// Expiry time, key and size of each retained answer, the oldest first.
     retained: VecDeque<(Instant, Arc<str>, usize)>,
@@ -72,6 +74,7 @@
             bytes: 0,
             retained_bytes: 0,
             open_requests: HashMap::new(),
+            spent_ids: SpentIds::default(),
             keys: HashMap::new(),
             retained: VecDeque::new(),
         }
@@ -106,7 +109,7 @@
                 }
             };
         }
-        if self.open_requests.contains_key(id) {
+        if self.open_requests.contains_key(id) || self.spent_ids.contains(id, Instant::now()) {
             return Err(Rejected::Duplicate);
         }
         if self.open_requests.len() >= self.limits.max_requests
@@ -154,8 +157,12 @@
         callers
     }
 
-    /// Removes a finished request, so that it no longer counts towards the limits.
-    pub(super) fn remove_request(&mut self, id: &RequestId) {
+    /// Removes a finished request, so that it no longer counts towards the limits. If its id is spent, no other
+    /// request of this id is admitted for a while.
+    pub(super) fn remove_request(&mut self, id: &RequestId, id_is_spent: bool) {
+        if id_is_spent {
+            self.spent_ids.insert(id.clone(), Instant::now());
+        }
         if let Some(entry) = self.open_requests.remove(id) {
             self.bytes -= entry.size;
         }
--- a/src/gateway/driver.rs
+++ b/src/gateway/driver.rs
@@ -384,7 +384,7 @@
             if self.open_requests.get(&id).is_some_and(|request| request.answered && request.in_flight == 0)
                 && let Some(request) = self.open_requests.remove(&id)
             {
-                self.admission.borrow_mut().remove_request(&id);
+                self.admission.borrow_mut().remove_request(&id, request.must_not_run_again());
                 if request.hold_deadline.get().is_some() && request.last_release.is_none() {
                     self.invariants.report_violation(Invariant::NothingHeldTooLong, &id, "never released");
                 }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -21,7 +21,7 @@
 /// The reason why a request was not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejected {
-    /// An open request has the same id.
+    /// A request of the same id is open, or may have run and must not run twice.
     Duplicate,
     /// The idempotency key was already used for a different request.
     KeyReused,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod releases;
 mod roster;
 mod routing;
+mod spent_ids;
 mod tuning;
 
 pub use admission::{Key, Limits};
--- a/src/gateway/open_request.rs
+++ b/src/gateway/open_request.rs
@@ -88,9 +88,12 @@
         if self.attempts.iter().any(Attempt::is_in_flight) {
             return Some(Invariant::NoSecondCopy);
         }
-        let must_not_repeat = !is_read && self.effect() == Effect::Unsafe;
-        let may_repeat_effect = must_not_repeat && self.attempts.iter().any(Attempt::may_have_run);
-        may_repeat_effect.then_some(Invariant::NoUnsafeRepeat)
+        (!is_read && self.must_not_run_again()).then_some(Invariant::NoUnsafeRepeat)
+    }
+
+    /// Returns true if the request may have run and must not run twice.
+    pub(super) fn must_not_run_again(&self) -> bool {
+        self.effect() == Effect::Unsafe && self.attempts.iter().any(Attempt::may_have_run)
     }
 
     /// Returns true if a refusal would wrongly promise that a retry is harmless.
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -129,6 +129,57 @@
     .await;
 }
 
+// A request that came again under its id ran a second time, once its first run had been given up or had ended. The
+// page has a new id with each request, so that only a repeat of what was sent before has an earlier one.
+#[rstest]
+#[case::left_during_its_run("correction", true, 409, 1)]
+#[case::answered("correction", false, 409, 1)]
+#[case::left_during_a_run_that_may_be_repeated("lookup", true, 200, 2)]
+#[tokio::test]
+async fn id_that_comes_again_does_not_run_twice(
+    #[case] class: &str,
+    #[case] leaves: bool,
+    #[case] expected_status: u16,
+    #[case] expected_runs: usize,
+) {
+    run_local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        let discovery = Discovery::start(&[&reader, &writer]).await;
+        let daemon = Daemon::start(&discovery, None).await;
+        if leaves {
+            writer.mode.set(Mode::Slow(400));
+            let mut stream = TcpStream::connect(daemon.address).await.expect("the daemon listens");
+            stream.write_all(chat_text("a1", class).as_bytes()).await.expect("the request is written");
+            wait_until("the writer has the request", async || writer.count("/v1/") == 1).await;
+            drop(stream);
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        } else {
+            assert_eq!(chat(daemon.address, "a1", class, 9000).await.status, 200);
+        }
+        assert_eq!(chat(daemon.address, "a1", class, 9000).await.status, expected_status);
+        assert_eq!(writer.count("/v1/"), expected_runs);
+        assert_eq!(chat(daemon.address, "a2", class, 9000).await.status, 200);
+    })
+    .await;
+}
+
+// An id of a request that provably never ran may come again: its client was told that a retry is harmless.
+#[tokio::test]
+async fn id_that_never_ran_may_come_again() {
+    run_local(async {
+        let (reader, writer) = (Engine::start("r1", "reader").await, Engine::start("w1", "writer").await);
+        writer.mode.set(Mode::Declines);
+        let discovery = Discovery::start(&[&reader, &writer]).await;
+        let daemon = Daemon::start(&discovery, None).await;
+        let refused = chat(daemon.address, "a1", "correction", 900).await;
+        assert!(matches!(refused.status, 429 | 503), "{refused:?}");
+        writer.mode.set(Mode::Healthy);
+        let is_served = async || chat(daemon.address, "a1", "correction", 9000).await.status == 200;
+        wait_until("the request is served under its id", is_served).await;
+    })
+    .await;
+}
+
 /// An engine that accepts a connection but reads nothing until `resume` is notified. Returns the number of
 /// bytes that it then received, and whether they contain a complete request.
 async fn hanging_engine(listener: TcpListener, resume: Rc<Notify>) -> (usize, bool) {
