Discard the rest of a refused request without the limit for floods

Cause: connections whose request had been refused early waited for the budget, lingered up to 1.5 s and held all places that are kept for refusals, so that new ones were closed.

Change: the first 320 KB behind a last response, more than a request, are not counted.

The new test failed with the exemption taken out (1.5 s).

--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -15,6 +15,9 @@
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nContent-Length: 0\r\n\r\n";
 /// Number of such responses that are written at a time.
 const REFUSALS_PER_WRITE: usize = 64;
+/// Number of bytes that are discarded behind the last response without a limit on their rate: the rest of a request
+/// that was refused early, so that its connection is free for another soon.
+const UNLIMITED_DISCARD_BYTES: usize = 320 << 10;
 /// Maximum time in which data that a client still sends after its response are read and discarded.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -145,16 +148,20 @@
         return;
     }
     let mut discarded = vec![0; buffer_bytes];
+    let mut discarded_bytes = 0;
     let drain = async {
         while stream.readable().await.is_ok() {
-            if !budget.is_available(Instant::now()) {
+            if discarded_bytes >= UNLIMITED_DISCARD_BYTES && !budget.is_available(Instant::now()) {
                 tokio::time::sleep(DISCARD_RETRY_DELAY).await;
                 continue;
             }
             match stream.try_read(&mut discarded) {
                 Ok(0) => return,
                 Ok(count) => {
-                    budget.record(count);
+                    if discarded_bytes >= UNLIMITED_DISCARD_BYTES {
+                        budget.record(count);
+                    }
+                    discarded_bytes += count;
                     tokio::task::yield_now().await;
                 }
                 Err(error) if must_retry(&error) => {}
@@ -165,3 +172,34 @@
     // A client that sends for longer has received its response by now.
     let _ = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::discard::DiscardBudget;
+    use super::*;
+    use crate::memory::{Memory, MemoryLimits};
+    use std::rc::Rc;
+    use tokio::io::AsyncWriteExt;
+    use tokio::net::TcpListener;
+
+    // While some clients sent at full speed, connections whose requests had been refused early lingered until their
+    // timeout. They held all places, and new clients were closed without an answer.
+    #[tokio::test]
+    async fn rest_of_a_refused_request_is_discarded_without_a_budget() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let mut client = TcpStream::connect(address).await.expect("the listener is open");
+        let (stream, _) = listener.accept().await.expect("the client is accepted");
+        let budget = Rc::new(DiscardBudget::new());
+        budget.record(usize::MAX);
+        let memory = Memory::new(MemoryLimits::UNLIMITED);
+        let connection = Connection::new(Rc::new(stream), memory, budget);
+        let send_body = async move {
+            client.write_all(&[b'x'; 250 << 10]).await.expect("the rest of the body is read");
+            client.shutdown().await.expect("the sending direction is closed");
+        };
+        let start = Instant::now();
+        tokio::join!(linger(&connection, 8 << 10), send_body);
+        assert!(start.elapsed() < LINGER_TIMEOUT / 2, "{:?}", start.elapsed());
+    }
+}
