--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -2,30 +2,22 @@
 //! parser, how long it has been idle, and whether the client has disconnected.
 
 use super::discard::DiscardBudget;
-use super::eviction::ServeLimits;
 use super::heads::{Framing, Heads};
+use super::limits::ServeLimits;
 use super::read_ahead::{ReadAhead, SEGMENT_BYTES};
 use super::transport::{self, Received, is_closed_or_has_input};
 use crate::gateway::{AttemptError, Progress};
 use crate::memory::Memory;
-use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::poll_fn;
-use std::io::{self, IoSlice};
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Sleep;
-
-/// Delay before a body error closes the connection, so that
-/// data already passed to hyper is written out first.
-const WRITE_OUT_DELAY: Duration = Duration::from_millis(20);
 
 /// Interval at which a connection is checked for a disconnect while nothing is read ahead.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -162,6 +154,29 @@
         self.heads.borrow_mut().take_waiting_requests()
     }
 
+    /// Moves bytes that were read ahead to the parser's buffer. Returns false if there are none.
+    pub(super) fn take_read_ahead(&self, buffer: &mut ReadBuf<'_>) -> bool {
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        let has_bytes = !read_ahead.is_empty();
+        read_ahead.take(buffer);
+        has_bytes
+    }
+
+    /// Returns true once the client has shut down its sending side or the connection has failed.
+    pub(super) fn has_read_ended(&self) -> bool {
+        self.read_ended.get()
+    }
+
+    /// Returns true if the head of a request was received that the parser has not passed on.
+    pub(super) fn has_waiting_request(&self) -> bool {
+        self.heads.borrow().has_waiting_head()
+    }
+
+    /// Records that the request that was passed on last has a response.
+    pub(super) fn mark_response_begun(&self) {
+        self.unanswered_id.take();
+    }
+
     /// Returns the framing of the request that the parser passes on next.
     pub(super) fn next_framing(&self) -> Framing {
         // A head that was not seen completely may contain both a length and a transfer encoding.
@@ -323,7 +338,7 @@
     }
 
     /// Records that all that was passed on to the HTTP library is written to the socket.
-    fn record_flushed(&self) {
+    pub(super) fn record_flushed(&self) {
         let flushed = self.unflushed_responses.take();
         if flushed > 0 {
             self.requests_in_progress.set(self.requests_in_progress.get() - flushed);
@@ -331,7 +346,7 @@
         }
     }
 
-    fn record_received(&self, bytes: &[u8]) {
+    pub(super) fn record_received(&self, bytes: &[u8]) {
         let now = Instant::now();
         let mut heads = self.heads.borrow_mut();
         if !heads.in_request() {
@@ -354,6 +369,11 @@
         connection.unanswered_id.replace(Some(Rc::from(id)));
         Self(connection)
     }
+
+    /// Returns the connection of the request.
+    pub(super) fn connection(&self) -> Rc<Connection> {
+        self.0.clone()
+    }
 }
 
 impl Drop for RequestInProgress {
@@ -361,128 +381,3 @@
         self.0.unflushed_responses.set(self.0.unflushed_responses.get() + 1);
     }
 }
-
-/// A response body; once it is dropped and written out the request on its connection has ended.
-pub(super) struct ClientBody<B: Body> {
-    body: B,
-    /// An error that is still to be reported, and the timer that delays it.
-    delayed_error: Option<(B::Error, Pin<Box<Sleep>>)>,
-    disconnect: Pin<Box<dyn Future<Output = ClientDisconnected>>>,
-    _request: RequestInProgress,
-}
-
-impl<B: Body> ClientBody<B> {
-    pub(super) fn new(body: B, request: RequestInProgress) -> Self {
-        let connection = request.0.clone();
-        connection.unanswered_id.take();
-        let disconnect = Box::pin(async move { connection.wait_for_disconnect().await });
-        Self { body, delayed_error: None, disconnect, _request: request }
-    }
-}
-
-impl<B: Body + Unpin> Body for ClientBody<B>
-where
-    B::Error: Unpin + From<ClientDisconnected>,
-{
-    type Data = B::Data;
-    type Error = B::Error;
-
-    /// Delays an error by a short time: on an error, hyper drops the connection
-    /// with everything that was not written out, and data that was passed on
-    /// just before, including the response head, would never reach the client.
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        let this = self.get_mut();
-        // The client has disconnected and reads no more. A body that is at its end may still be written.
-        if !this.body.is_end_stream() && this.disconnect.as_mut().poll(context).is_ready() {
-            return Poll::Ready(Some(Err(ClientDisconnected.into())));
-        }
-        if this.delayed_error.is_none() {
-            match ready!(Pin::new(&mut this.body).poll_frame(context)) {
-                Some(Err(error)) => {
-                    this.delayed_error = Some((error, Box::pin(tokio::time::sleep(WRITE_OUT_DELAY))));
-                }
-                frame => return Poll::Ready(frame),
-            }
-        }
-        if let Some((_, timer)) = &mut this.delayed_error {
-            ready!(timer.as_mut().poll(context));
-        }
-        Poll::Ready(this.delayed_error.take().map(|(error, _)| Err(error)))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-/// The byte stream of a connection, which records what is received.
-pub(super) struct ClientStream(pub(super) Rc<Connection>);
-
-impl AsyncRead for ClientStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let mut read_ahead = self.0.read_ahead.borrow_mut();
-        if !read_ahead.is_empty() {
-            read_ahead.take(buffer);
-            return Poll::Ready(Ok(()));
-        }
-        if self.0.read_ended.get() {
-            return Poll::Ready(Ok(()));
-        }
-        if self.0.has_overflowed() {
-            // What was discarded is missing. The connection closes after the response in progress.
-            return Poll::Pending;
-        }
-        let filled_before = buffer.filled().len();
-        let read = transport::poll_read(&self.0.stream, context, buffer);
-        if buffer.filled().len() > filled_before {
-            self.0.record_received(&buffer.filled()[filled_before..]);
-        }
-        read
-    }
-}
-
-impl AsyncWrite for ClientStream {
-    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        transport::poll_write(&self.0.stream, context, bytes)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        transport::poll_write_vectored(&self.0.stream, context, slices)
-    }
-
-    /// Returns true so that hyper queues the pieces of a response instead of copying them to a write buffer,
-    /// which would keep the size of the largest response until the connection closes.
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    /// Called by the HTTP library when it has written all that it had buffered.
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.0.record_flushed();
-        Poll::Ready(Ok(()))
-    }
-
-    /// Keeps the sending side open if requests were received that are still to be refused. Dropping the stream
-    /// closes the connection.
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.0.heads.borrow().has_waiting_head() {
-            return Poll::Ready(Ok(()));
-        }
-        Poll::Ready(transport::end_writing(&self.0.stream))
-    }
-}
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -2,13 +2,16 @@
 //! each served by its own task, which isolates panics.
 
 use super::accept::{ACCEPT_RETRY_DELAY, AcceptFailure, BacklogWatch, accept_pending};
+use super::client_body::ClientBody;
+use super::client_stream::ClientStream;
 use super::closing::{
     CloseEffect, CloseReason, ClosedConnection, finish_shutdown, linger, refuse_waiting_requests,
 };
-use super::connection::{ClientBody, ClientStream, Connection, RequestInProgress};
+use super::connection::{Connection, RequestInProgress};
 use super::engines::HttpEvents;
-use super::eviction::{Admission, Connections, Registration, ServeLimits};
+use super::eviction::{Admission, Connections, Registration};
 use super::heads::Framing;
+use super::limits::ServeLimits;
 use crate::gateway::{AttemptError, Relay};
 use crate::memory::Memory;
 use bytes::Bytes;
