--- a/src/net/closing.rs
+++ b/src/net/closing.rs
@@ -160,9 +160,9 @@
                 Ok(count) => {
                     if discarded_bytes >= UNLIMITED_DISCARD_BYTES {
                         budget.record(count);
+                        tokio::task::yield_now().await;
                     }
                     discarded_bytes += count;
-                    tokio::task::yield_now().await;
                 }
                 Err(error) if must_retry(&error) => {}
                 Err(_) => return,
